--- /dev/null
+++ b/src/adapter/main.cpp
@@ -0,0 +1,10 @@
+#include <iostream>
+
+#include "host.h"
+
+int main() {
+    std::ios::sync_with_stdio(false);
+    std::cin.tie(nullptr);
+    badgergrade::wire::Host(std::cout, std::cerr).run(std::cin);
+    return 0;
+}
--- /dev/null
+++ b/src/logic.cpp
@@ -0,0 +1,690 @@
+// The decisions of badgergrade. The interface is logic.h: make one Governor an instance, take() each event,
+// then decide() once a moment. The ordinary path is the zone allotment of the design page (docs/design.md).
+// Mechanisms beside the design, six at most:
+//   1. verdicts: servers that fail or crawl for one zone's proxies leave that zone's table, and come by trial;
+//   2. easing in: cold servers carry a part of their weight, in tables and in the allotment alike;
+//   3. mode hold: after a full table, zone tables come back only when feasible for the hold rounds;
+//   4. channel guard: orders that can wait do so while lines or messages are short;
+//   5. further tries: operations that may repeat get one more try after any failure, unless all is jammed.
+#include "logic.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <map>
+#include <random>
+#include <set>
+#include <utility>
+
+namespace badgergrade {
+namespace {
+
+using namespace std::chrono_literals;
+
+// The design page's own figures.
+constexpr double kOverload = 0.2;
+constexpr Micros kRound = 5s;
+constexpr int kHoldRounds = 3;
+constexpr Micros kAckWait = 2s;
+constexpr double kFreshPart = 0.25;
+// Everything that waits for time to pass is looked at this often.
+constexpr Micros kBeat = 250ms;
+// Demand is averaged over this long: a retry wave or a burst of seconds must not rock the shares.
+constexpr Micros kDemandBucket = 1250ms;
+// Verdict window, in buckets of this width; reports come every one or two seconds, so it spans a few of them.
+constexpr Micros kMetBucket = 1s;
+constexpr int kMetWindow = 4;
+constexpr double kFewTries = 4;
+constexpr double kBadPart = 0.3;
+constexpr double kWorseBy = 3;
+constexpr double kSlowBy = 3;
+constexpr double kMostOut = 0.5;
+constexpr double kDeadPart = 0.8;
+constexpr Micros kOutFirst = 6s;
+constexpr Micros kOutMost = 24s;
+constexpr Micros kTrialMost = 5s;
+// The channel may run several times slower than told; what has left it is reckoned at this part of its pace.
+constexpr double kSurePace = 0.1;
+constexpr double kCanWaitPart = 0.5;
+constexpr double kMustGoPart = 0.95;
+
+double seconds(Micros t) { return static_cast<double>(t.count()) / 1e6; }
+
+// Sums in fixed buckets of time that are used again in a ring.
+template <class Cell, int N>
+class Ring {
+public:
+    Cell& at(Micros now, Micros width) {
+        const std::int64_t turn = now / width;
+        Slot& slot = slots_[static_cast<std::size_t>(turn % N)];
+        if (slot.turn != turn) slot = {turn, {}};
+        return slot.cell;
+    }
+    Cell sum(Micros now, Micros width, int last = N) const {
+        Cell all{};
+        const std::int64_t turn = now / width;
+        for (const Slot& slot : slots_)
+            if (slot.turn > turn - last && slot.turn <= turn) all += slot.cell;
+        return all;
+    }
+
+private:
+    struct Slot {
+        std::int64_t turn = -1;
+        Cell cell{};
+    };
+    std::array<Slot, N> slots_{};
+};
+
+struct Came {
+    double count = 0, span = 0;
+    Came& operator+=(const Came& o) { return count += o.count, span += o.span, *this; }
+};
+struct Met {
+    double tries = 0, errored = 0, time = 0;
+    Met& operator+=(const Met& o) { return tries += o.tries, errored += o.errored, time += o.time, *this; }
+    double bad() const { return tries > 0 ? errored / tries : 0; }
+    double mean() const { return tries > errored ? time / (tries - errored) : 0; }
+};
+
+struct Server {
+    ZoneId zone;
+    ServerState state = ServerState::Gone;
+    double weight = 1;
+    Micros started{};
+};
+
+enum class Phase { In, Out, Trial };
+// What one zone's proxies met at one server, and the verdict on it there.
+struct Standing {
+    Ring<Met, 8> met;
+    Phase phase = Phase::In;
+    Micros until{};
+    Micros stay = kOutFirst;
+};
+
+struct Proxy {
+    bool joined = false;
+    ZoneId zone;
+    double told = 0;
+    std::map<OpId, Ring<Came, 8>> came;
+    std::map<OpMask, TableId> bound;
+    Ring<Came, 16> messages;
+};
+
+struct Table {
+    std::map<ServerId, double> want, have;
+    std::set<ProxyId> unacked;
+    Micros pushed{};
+    int mark = 0;
+};
+
+struct Allotment {
+    std::string full_because;
+    std::map<ServerId, ZoneId> at;
+};
+
+// One server as the allotment sees it: listed weight (mean 1) and what it carries now.
+struct Share {
+    ServerId server;
+    ZoneId zone;
+    double listed, carries;
+};
+
+double minimum_for(double desired) { return std::ceil(desired / (1 + kOverload) - 1e-9); }
+
+// DESIGN: feasibility, then own zone, then single moves from the largest surplus to the largest deficit.
+Allotment allot(const std::vector<double>& demand, const std::vector<Share>& servers,
+                const std::map<ServerId, ZoneId>& last) {
+    Allotment out;
+    const std::size_t zones = demand.size();
+    double listed = 0, carried = 0, minimums = 0;
+    for (const Share& s : servers) {
+        if (s.zone.v < 0 || s.zone.v >= static_cast<int>(zones)) out.full_because = "a server without a zone";
+        listed += s.listed;
+        carried += s.carries;
+    }
+    const auto asking = std::count_if(demand.begin(), demand.end(), [](double d) { return d > 0; });
+    for (const double d : demand) minimums += minimum_for(d * listed);
+    if (asking < 2) out.full_because = "under two zones";
+    else if (static_cast<std::size_t>(asking) > servers.size()) out.full_because = "more zones than servers";
+    else if (minimums > listed + 1e-9) out.full_because = "minimums exceed the servers";
+    if (!out.full_because.empty()) return out;
+
+    std::vector<double> over(zones, 0.0);
+    for (std::size_t z = 0; z < zones; ++z) {
+        const double desired = demand[z] * carried;
+        over[z] = -std::max(desired, minimum_for(desired));
+    }
+    for (const Share& s : servers) {
+        out.at[s.server] = s.zone;
+        over[static_cast<std::size_t>(s.zone.v)] += s.carries;
+    }
+    for (std::size_t moves = 0; moves < servers.size(); ++moves) {
+        const auto most = std::max_element(over.begin(), over.end());
+        const auto least = std::min_element(over.begin(), over.end());
+        const ZoneId from{static_cast<int>(most - over.begin())}, to{static_cast<int>(least - over.begin())};
+        const Share* pick = nullptr;
+        const auto rank = [&](const Share& s) {
+            const auto it = last.find(s.server);
+            return std::tuple(it != last.end() && it->second == to, std::min(s.listed, s.carries));
+        };
+        for (const Share& s : servers) {
+            const double size = std::max(0.5, s.carries);
+            if (s.zone != from || out.at[s.server] != from || s.carries <= 0) continue;
+            if (size > *most + 1e-9 || size > -*least + 1e-9) continue;
+            if (!pick || rank(s) > rank(*pick)) pick = &s;
+        }
+        if (!pick) break;
+        out.at[pick->server] = to;
+        *most -= pick->carries;
+        *least += pick->carries;
+    }
+    return out;
+}
+
+}  // namespace
+
+struct Governor::Mind {
+    // Derived at the start; the settings as told are not kept.
+    int zones;
+    OpMask all_ops = 0, own_ops = 0, open_ops = 0, again_ops = 0;
+    bool levels_by_rate, equal_weights, ask, slices, exclusive;
+    int proxies, messages_most;
+    Micros quick_objective{Micros::max()}, cold_time, messages_bucket, owner_wait;
+    double rate, head, lines_most;
+
+    std::ranlux24_base chance;
+    std::map<ServerId, Server> servers;
+    std::map<std::pair<ZoneId, ServerId>, Standing> standings;
+    std::map<ProxyId, Proxy> fleet;
+    std::map<TableId, Table> tables;
+    std::map<TableId, Micros> vacant;
+    std::vector<double> share;
+    std::map<ServerId, ZoneId> placed;
+    std::string full_because;
+    bool full = false, beating = false, watching = false, again_on = true, jammed = false;
+    std::pair<int, int> ordered{-1, -1};
+    int off_rounds = 0, calm_rounds = 0, rounds = 0, mark = 0;
+    Micros next_round{}, watch_at{}, drained_at{};
+    double waiting = 0, written = 0;
+    std::map<int, double> before_mark;
+    std::vector<Action> out;
+
+    Mind(const Settings& s, std::uint64_t seed, Micros now)
+        : zones(s.zones),
+          levels_by_rate(s.admit == Admit::Rate),
+          equal_weights(s.listed == Listed::None || s.listed == Listed::Live),
+          ask(s.ask_for_list),
+          slices(s.slices > 0),
+          exclusive(s.exclusive),
+          proxies(s.proxies),
+          messages_most(s.messages_most),
+          cold_time(s.cold_time),
+          messages_bucket(std::max(Micros{1000}, s.messages_window / 14)),
+          owner_wait(s.settle + s.way_most),
+          rate(std::max(1.0, s.channel_rate)),
+          head(s.head_lines),
+          lines_most(s.lines_most > 0 ? s.lines_most : 1e18),
+          chance(static_cast<std::uint32_t>(seed ^ seed >> 32)),
+          share(static_cast<std::size_t>(s.zones), 0.0),
+          next_round(now + kRound),
+          drained_at(now) {
+        for (std::size_t k = 0; k < s.operations.size(); ++k) {
+            const Operation& op = s.operations[k];
+            const OpMask bit = OpMask{1} << k;
+            all_ops |= bit;
+            (op.own_zone ? own_ops : open_ops) |= bit;
+            const bool repeats = op.effect == Effect::Idempotent ||
+                                 (op.effect == Effect::Fingerprinted && op.scope == Scope::All &&
+                                  op.fingerprint_ttl > op.integration_timeout + s.settle);
+            if (repeats) again_ops |= bit;
+            quick_objective = std::min(quick_objective, op.latency_objective);
+        }
+    }
+
+    void log(std::string text) { out.push_back(act::Log{std::move(text)}); }
+    TableId zone_table(ZoneId z) const { return {z.v}; }
+    TableId full_table() const { return {zones}; }
+    TableId own_table(ZoneId z) const { return {zones + 1 + z.v}; }
+
+    // ---- what is heard -------------------------------------------------------------------------------
+
+    void on(Micros, const ev::List& e) {
+        if (e.form == ListForm::Failed) {
+            watching = false;
+            return;
+        }
+        if (e.form != ListForm::Delta)
+            for (auto& [id, server] : servers) server.state = ServerState::Gone;
+        for (const ServerRow& row : e.rows) {
+            Server& server = servers[row.server];
+            if (row.state == ServerState::Ready && server.started != row.started)
+                for (int z = 0; z < zones; ++z) standings.erase({ZoneId{z}, row.server});
+            const double weight = equal_weights || !(row.weight > 0) ? 1.0 : row.weight;
+            server = {row.zone, row.state, weight, row.started};
+        }
+    }
+    void on(Micros, const ev::Timer&) { beating = false; }
+    void on(Micros, const ev::Probed&) {}
+    void on(Micros, const ev::Peer&) {}
+    void on(Micros, const ev::Joined& e) {
+        Proxy& proxy = fleet[e.proxy];
+        proxy.joined = true;
+        proxy.zone = e.zone;
+        proxy.told = e.rate;
+        proxy.bound.clear();
+        proxy.messages = {};
+    }
+    void on(Micros, const ev::Left& e) {
+        const auto it = fleet.find(e.proxy);
+        if (it == fleet.end()) return;
+        it->second.joined = false;
+        it->second.bound.clear();
+        for (auto& [id, table] : tables) table.unacked.erase(e.proxy);
+    }
+    void on(Micros now, const ev::Heard& e) {
+        const auto it = servers.find(e.server);
+        if (it == servers.end() || e.zone.v < 0 || e.zone.v >= zones) return;
+        Met met{static_cast<double>(e.tries), static_cast<double>(std::min(e.errored, e.tries)), 0};
+        met.time = seconds(e.mean) * (met.tries - met.errored);
+        standings[{e.zone, e.server}].met.at(now, kMetBucket) += met;
+    }
+    void on(Micros now, const ev::Demand& e) {
+        const auto it = fleet.find(e.proxy);
+        if (it == fleet.end() || e.span <= Micros{0}) return;
+        it->second.came[e.op].at(now, kDemandBucket) += {static_cast<double>(e.count), seconds(e.span)};
+    }
+    void on(Micros, const ev::SliceDemand&) {}
+    void on(Micros, const ev::SliceGiven& e) {
+        if (e.given) tables[e.slice] = {};
+        else tables.erase(e.slice);
+        vacant.erase(e.slice);
+    }
+    void on(Micros, const ev::SliceLine& e) {
+        const auto it = tables.find(e.slice);
+        if (it != tables.end()) it->second.have[e.server] = e.weight;
+    }
+    void on(Micros, const ev::Applied& e) {
+        for (auto& [id, table] : tables)
+            if (((e.mark.v - table.mark) & 65535) < 32768) table.unacked.erase(e.proxy);
+        if (const auto it = before_mark.find(e.mark.v); it != before_mark.end())
+            waiting = std::min(waiting, written - it->second);
+    }
+
+    // ---- demand --------------------------------------------------------------------------------------
+
+    double rate_of(Micros now, const Proxy& proxy) const {
+        double sum = 0;
+        for (const auto& [op, ring] : proxy.came) {
+            const Came came = ring.sum(now, kDemandBucket);
+            if (came.span > 0) sum += came.count / came.span;
+        }
+        return sum > 0 ? sum : proxy.told;
+    }
+
+    // DESIGN: unheard proxies count as average; they are taken to stand where the heard ones are too few.
+    std::vector<double> shares(Micros now) const {
+        std::vector<double> sum(static_cast<std::size_t>(zones), 0.0), known(sum);
+        double total = 0, heads = 0;
+        for (const auto& [id, proxy] : fleet) {
+            if (proxy.zone.v < 0 || proxy.zone.v >= zones) continue;
+            const double r = rate_of(now, proxy);
+            sum[static_cast<std::size_t>(proxy.zone.v)] += r;
+            known[static_cast<std::size_t>(proxy.zone.v)] += 1;
+            total += r;
+            heads += 1;
+        }
+        const double average = heads > 0 && total > 0 ? total / heads : 1;
+        const double unheard = std::max(0.0, proxies - heads), even = static_cast<double>(proxies) / zones;
+        double room = 0;
+        for (const double k : known) room += std::max(0.0, even - k);
+        total = 0;
+        for (std::size_t z = 0; z < sum.size(); ++z) {
+            if (room > 0) sum[z] += average * unheard * std::max(0.0, even - known[z]) / room;
+            total += sum[z];
+        }
+        for (double& s : sum) s = total > 0 ? s / total : 1.0 / zones;
+        return sum;
+    }
+
+    // DESIGN: a whole server off for three rounds; before the first rounds are over the shares follow freely.
+    void round(Micros now) {
+        const std::vector<double> fresh = shares(now);
+        double ready = 0, off = 0;
+        for (const auto& [id, server] : servers) ready += server.state == ServerState::Ready;
+        for (std::size_t z = 0; z < fresh.size(); ++z)
+            off = std::max(off, std::abs(fresh[z] - share[z]) * ready);
+        off_rounds = off >= 1 ? off_rounds + 1 : 0;
+        if (off_rounds >= kHoldRounds || rounds == 0) {
+            share = fresh;
+            off_rounds = 0;
+        }
+        ++rounds;
+        calm_rounds += 1;
+        next_round = now + kRound;
+    }
+
+    // ---- verdicts ------------------------------------------------------------------------------------
+
+    bool listed_ready(ServerId id) const {
+        const auto it = servers.find(id);
+        return it != servers.end() && it->second.state == ServerState::Ready;
+    }
+    bool is_out(ZoneId z, ServerId id) const {
+        const auto it = standings.find({z, id});
+        return it != standings.end() && it->second.phase == Phase::Out;
+    }
+
+    static double median(std::vector<double> all) {
+        if (all.empty()) return 0;
+        const auto mid = all.begin() + static_cast<std::ptrdiff_t>((all.size() - 1) / 2);
+        std::nth_element(all.begin(), mid, all.end());
+        return *mid;
+    }
+
+    // Hung, failing and crawling servers differ from an overload of all: the middle one of the zone is the
+    // measure, and at most half of a zone may be out unless nearly all of it is dead while other zones answer.
+    void judge(Micros now) {
+        Met everywhere;
+        for (auto& [key, standing] : standings)
+            if (listed_ready(key.second)) everywhere += standing.met.sum(now, kMetBucket, kMetWindow);
+        for (int z = 0; z < zones; ++z) judge_zone(now, {z}, everywhere);
+    }
+
+    void judge_zone(Micros now, ZoneId z, const Met& everywhere) {
+        std::vector<double> bads, means;
+        std::vector<std::pair<ServerId, Met>> seen;
+        int out_now = 0, members = 0, dead = 0;
+        Met here;
+        for (auto it = standings.lower_bound({z, ServerId{0}}); it != standings.end() && it->first.first == z;
+             ++it) {
+            const ServerId id = it->first.second;
+            if (!listed_ready(id)) continue;
+            const Met met = it->second.met.sum(now, kMetBucket, kMetWindow);
+            const bool is_member = it->second.phase != Phase::In || met.tries > 0;
+            members += is_member;
+            out_now += it->second.phase == Phase::Out;
+            seen.emplace_back(id, met);
+            here += met;
+            if (met.tries < kFewTries) continue;
+            bads.push_back(met.bad());
+            if (met.mean() > 0) means.push_back(met.mean());
+            dead += met.bad() >= kDeadPart;
+        }
+        const double usual_bad = median(bads), usual_mean = median(means);
+        const Met rest{everywhere.tries - here.tries, everywhere.errored - here.errored, 0};
+        const bool zone_dead = dead * 4 >= members * 3 && rest.tries > kFewTries && rest.bad() < kBadPart;
+        for (const auto& [id, met] : seen) {
+            Standing& standing = standings[{z, id}];
+            const double few = standing.phase == Phase::Trial ? 2 : kFewTries;
+            const bool failing = met.tries >= few && met.errored >= 2 && met.bad() >= kBadPart &&
+                                 (met.bad() >= kWorseBy * usual_bad || (zone_dead && met.bad() >= kDeadPart));
+            const bool crawling = met.tries - met.errored >= few && usual_mean > 0 &&
+                                  met.mean() >= kSlowBy * usual_mean &&
+                                  met.mean() >= 0.5 * seconds(quick_objective);
+            if (standing.phase == Phase::Out) {
+                if (now < standing.until) continue;
+                standing.phase = Phase::Trial;
+                standing.until = now + kTrialMost;
+                standing.met = {};
+            } else if (failing || crawling) {
+                if (!zone_dead && out_now + 1 > kMostOut * members) continue;
+                if (standing.phase == Phase::Trial) standing.stay = std::min(kOutMost, standing.stay * 2);
+                standing.phase = Phase::Out;
+                standing.until = now + standing.stay;
+                ++out_now;
+                log("server " + std::to_string(id.v) + " out of zone " + std::to_string(z.v) + ": " +
+                    (failing ? "errored " + std::to_string(static_cast<int>(met.bad() * 100)) + "% of " +
+                                   std::to_string(static_cast<int>(met.tries)) + " tries"
+                             : "answers take " + std::to_string(met.mean()) + " s, usual " +
+                                   std::to_string(usual_mean)));
+            } else if (standing.phase == Phase::Trial && now >= standing.until) {
+                standing.phase = Phase::In;
+                log("server " + std::to_string(id.v) + " back in zone " + std::to_string(z.v));
+            } else if (standing.phase == Phase::In && met.tries >= 4 * kFewTries) {
+                standing.stay = std::max(kOutFirst, standing.stay - kBeat);
+            }
+        }
+    }
+
+    // ---- the wanted state ----------------------------------------------------------------------------
+
+    // DESIGN: a quarter, rising; the steps are quarters so that a ramp costs three pushes.
+    double eased(Micros now, const Server& server) const {
+        if (cold_time <= Micros{0} || server.started <= Micros{0} || server.started + cold_time <= now) return 1;
+        const double age = seconds(now - server.started) / seconds(cold_time);
+        return std::max(kFreshPart, std::floor(age * 4) / 4);
+    }
+    double part_in(Micros now, ZoneId z, ServerId id, const Server& server) const {
+        const auto it = standings.find({z, id});
+        const bool trial = it != standings.end() && it->second.phase == Phase::Trial;
+        return server.weight * std::min(eased(now, server), trial ? kFreshPart : 1.0);
+    }
+
+    void want(Micros now) {
+        std::vector<Share> ready;
+        double mean = 0;
+        for (const auto& [id, server] : servers) {
+            if (server.state != ServerState::Ready) continue;
+            const double carries = is_out(server.zone, id) ? 0 : part_in(now, server.zone, id, server);
+            ready.push_back({id, server.zone, server.weight, carries});
+            mean += server.weight;
+        }
+        if (!ready.empty()) mean /= static_cast<double>(ready.size());
+        for (Share& s : ready) s.listed /= mean, s.carries /= mean;
+        Allotment next = allot(share, ready, placed);
+        if (!next.full_because.empty()) {
+            if (!full) log("full table for all: " + next.full_because);
+            full = true;
+            calm_rounds = 0;
+        } else if (full && (calm_rounds >= kHoldRounds || rounds == 0)) {
+            full = false;
+            log("zone tables again");
+        }
+        placed = std::move(next.at);
+        for (int z = 0; z <= 2 * zones; ++z) tables[{z}].want.clear();
+        for (const Share& s : ready) {
+            const Server& server = servers[s.server];
+            int out_in = 0;
+            for (int z = 0; z < zones; ++z) out_in += is_out({z}, s.server);
+            if (out_in * 2 < zones) tables[full_table()].want[s.server] = server.weight * eased(now, server);
+            if (const auto it = placed.find(s.server); it != placed.end() && !is_out(it->second, s.server))
+                tables[zone_table(it->second)].want[s.server] = part_in(now, it->second, s.server, server);
+            if (own_ops && server.zone.v >= 0 && server.zone.v < zones && !is_out(server.zone, s.server))
+                tables[own_table(server.zone)].want[s.server] = part_in(now, server.zone, s.server, server);
+        }
+        refill(ready);
+    }
+
+    // No verdict may leave a table bare that a proxy needs (a zone all of whose servers are judged out).
+    void refill(const std::vector<Share>& ready) {
+        std::set<TableId> bare;
+        for (int t = zones; t <= 2 * zones; ++t)
+            if (tables[{t}].want.empty()) bare.insert({t});
+        for (const Share& s : ready) {
+            if (bare.contains(full_table())) tables[full_table()].want[s.server] = servers[s.server].weight;
+            if (own_ops && s.zone.v >= 0 && s.zone.v < zones && bare.contains(own_table(s.zone)))
+                tables[own_table(s.zone)].want[s.server] = servers[s.server].weight;
+        }
+    }
+
+    std::map<OpMask, TableId> binding(const Proxy& proxy) {
+        std::map<OpMask, TableId> wanted;
+        const bool known = proxy.zone.v >= 0 && proxy.zone.v < zones;
+        const bool whole = full || !known || tables[zone_table(proxy.zone)].want.empty();
+        if (open_ops) wanted[open_ops == all_ops ? 0 : open_ops] = whole ? full_table() : zone_table(proxy.zone);
+        if (own_ops) wanted[own_ops == all_ops ? 0 : own_ops] = known ? own_table(proxy.zone) : full_table();
+        return wanted;
+    }
+
+    // ---- the difference, and what the channel bears ---------------------------------------------------
+
+    void drain_channel(Micros now) {
+        waiting = std::max(0.0, waiting - seconds(now - drained_at) * rate * kSurePace);
+        drained_at = now;
+    }
+    bool may_write(Micros now, const Proxy& proxy, bool must) const {
+        if (messages_most <= 0) return true;
+        const double sent = proxy.messages.sum(now, messages_bucket).count;
+        return sent + 1 <= (must ? messages_most - 1 : messages_most * kCanWaitPart);
+    }
+    bool fits(double lines, bool must) const {
+        return waiting + lines <= lines_most * (must ? kMustGoPart : kCanWaitPart);
+    }
+
+    static bool uses(const Proxy& proxy, TableId id) {
+        for (const auto& [ops, table] : proxy.bound)
+            if (table == id) return true;
+        return false;
+    }
+
+    // Marks answered or two seconds gone: the table may change again.
+    static bool paced(Micros now, const Table& table) {
+        return table.unacked.empty() || now - table.pushed >= kAckWait;
+    }
+
+    void emit(Micros now) {
+        drain_channel(now);
+        std::map<ProxyId, double> touched;
+        emit_levels(now, touched);
+        for (auto& [id, table] : tables) emit_table(now, id, table, touched);
+        for (auto& [id, proxy] : fleet) emit_binding(now, id, proxy, touched);
+        if (touched.empty()) return;
+        mark = (mark + 1) % 65536;
+        if (before_mark.size() > 64) before_mark.clear();
+        before_mark[mark] = written;
+        out.push_back(act::Mark{{mark}, false});
+        for (const auto& [id, lines] : touched) {
+            fleet[id].messages.at(now, messages_bucket).count += 1;
+            waiting += head + lines + 1 + 2;
+            written += head + lines + 1 + 2;
+        }
+    }
+
+    void emit_table(Micros now, TableId id, Table& table, std::map<ProxyId, double>& touched) {
+        std::vector<std::pair<ServerId, double>> lines;
+        bool must = false;
+        for (const auto& [server, weight] : table.have)
+            if (!table.want.contains(server)) lines.emplace_back(server, 0.0), must = true;
+        for (const auto& [server, weight] : table.want) {
+            const auto it = table.have.find(server);
+            if (it != table.have.end() && std::abs(it->second - weight) < 1e-9) continue;
+            lines.emplace_back(server, weight);
+            if (it != table.have.end() && weight < it->second) must = true;
+        }
+        if (lines.empty()) return;
+        std::vector<ProxyId> users;
+        bool room = true;
+        for (const auto& [pid, proxy] : fleet)
+            if (proxy.joined && uses(proxy, id)) {
+                users.push_back(pid);
+                room = room && may_write(now, proxy, must);
+            }
+        const double cost = static_cast<double>(users.size()) * (head + 3 + static_cast<double>(lines.size()));
+        if (!users.empty() && (!fits(cost, must) || !room || (!must && !paced(now, table)))) return;
+        for (const auto& [server, weight] : lines) {
+            out.push_back(act::Line{id, server, weight});
+            if (weight > 0) table.have[server] = weight;
+            else table.have.erase(server);
+        }
+        for (const ProxyId user : users) touched[user] += static_cast<double>(lines.size());
+        table.unacked = {users.begin(), users.end()};
+        table.pushed = now;
+        table.mark = (mark + 1) % 65536;
+    }
+
+    void emit_binding(Micros now, ProxyId id, Proxy& proxy, std::map<ProxyId, double>& touched) {
+        if (!proxy.joined) return;
+        const auto wanted = binding(proxy);
+        if (wanted == proxy.bound) return;
+        double cost = touched.contains(id) ? 0 : head + 3;
+        for (const auto& [ops, table] : wanted) cost += 1 + static_cast<double>(tables[table].have.size());
+        if (!fits(cost, true) || !may_write(now, proxy, true)) return;
+        for (const auto& [ops, table] : wanted) {
+            const auto it = proxy.bound.find(ops);
+            if (it == proxy.bound.end() || it->second != table) out.push_back(act::Bind{table, ops, id});
+        }
+        proxy.bound = wanted;
+        touched[id] += cost;
+        waiting += cost;
+    }
+
+    // A further try after any failure saves what a hung or failing server swallows; a jam of all makes it waste.
+    void emit_levels(Micros, std::map<ProxyId, double>& touched) {
+        if (!again_ops) return;
+        const std::pair<int, int> wanted{jammed ? 1 : 2, 0};
+        if (wanted == ordered) return;
+        ordered = wanted;
+        out.push_back(act::Level{kEveryTable, again_ops, levels_by_rate ? 1e6 : 1.0,
+                                 static_cast<Again>(wanted.first)});
+        for (const auto& [id, proxy] : fleet)
+            if (proxy.joined) touched[id] += 1;
+    }
+
+    // ---- slices: legal and plain ----------------------------------------------------------------------
+
+    // A line whose server is lost goes to the ready server with the fewest slices. Where a slice has one
+    // owner, the next one gets it only when all writes of the former are over.
+    void want_slices(Micros now) {
+        std::map<ServerId, int> held;
+        for (const auto& [id, server] : servers)
+            if (server.state == ServerState::Ready) held[id] = 0;
+        for (const auto& [id, table] : tables)
+            for (const auto& [server, weight] : table.have)
+                if (held.contains(server)) ++held[server];
+        for (auto& [id, table] : tables) {
+            for (auto it = table.have.begin(); it != table.have.end();) {
+                if (held.contains(it->first)) {
+                    ++it;
+                    continue;
+                }
+                out.push_back(act::Line{id, it->first, 0});
+                it = table.have.erase(it);
+                vacant[id] = exclusive ? now + owner_wait : now;
+            }
+            if (!table.have.empty() || held.empty()) continue;
+            if (const auto it = vacant.find(id); it != vacant.end() && now < it->second) continue;
+            const auto least = std::min_element(held.begin(), held.end(),
+                                                [](auto& a, auto& b) { return a.second < b.second; });
+            ++least->second;
+            table.have[least->first] = 1;
+            out.push_back(act::Line{id, least->first, 1});
+        }
+    }
+
+    std::vector<Action> decide(Micros now) {
+        if (ask && !watching && now >= watch_at) {
+            out.push_back(act::Watch{true});
+            watching = true;
+            watch_at = now + kRound;
+        }
+        if (slices) {
+            want_slices(now);
+        } else {
+            if (rounds == 0) share = shares(now);
+            if (now >= next_round) round(now);
+            judge(now);
+            want(now);
+            emit(now);
+        }
+        if (!beating) {
+            beating = true;
+            out.push_back(act::Timer{"beat", kBeat});
+        }
+        return std::exchange(out, {});
+    }
+};
+
+Governor::Governor(const Settings& told, std::uint64_t seed, Micros now)
+    : mind_(std::make_unique<Mind>(told, seed, now)) {}
+Governor::~Governor() = default;
+Governor::Governor(Governor&&) noexcept = default;
+Governor& Governor::operator=(Governor&&) noexcept = default;
+
+void Governor::take(Micros now, const Event& event) {
+    std::visit([&](const auto& e) { mind_->on(now, e); }, event);
+}
+std::vector<Action> Governor::decide(Micros now) { return mind_->decide(now); }
+
+}  // namespace badgergrade
