--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -5,7 +5,8 @@
 //   2. easing in: cold servers carry a part of their weight, in tables and in the allotment alike;
 //   3. mode hold: after a full table, zone tables come back only when feasible for the hold rounds;
 //   4. channel guard: orders that can wait do so while lines or messages are short;
-//   5. further tries: operations that may repeat get one more try after any failure, unless all is jammed.
+//   5. levels: while the middle server of a zone fails, its proxies let in what bills least for its work last;
+//      the same orders keep an own-zone table of cold servers from being handed the zone's whole demand.
 #include "logic.h"
 
 #include <algorithm>
@@ -27,6 +28,17 @@
 constexpr int kHoldRounds = 3;
 constexpr Micros kAckWait = 2s;
 constexpr double kFreshPart = 0.25;
+// A cold server may meet this many times its usual load per weight (retries, an overload, a burst at once).
+constexpr double kRushed = 3;
+// A level goes down a step a second while the middle server of a zone errors above the first, and comes back
+// half as fast under the second; no operation goes under the least, so that its recovery can be seen.
+constexpr double kJamPart = 0.2;
+constexpr double kCalmPart = 0.08;
+constexpr double kShedStep = 0.1;
+constexpr double kShedMost = 0.8;
+constexpr double kLeastIn = 0.1;
+constexpr Micros kShedEvery = 1s;
+constexpr double kAnyRate = 1e6;
 // Everything that waits for time to pass is looked at this often.
 constexpr Micros kBeat = 250ms;
 // Demand is averaged over this long: a retry wave or a burst of seconds must not rock the shares.
@@ -117,6 +129,7 @@
     std::set<ProxyId> unacked;
     Micros pushed{};
     int mark = 0;
+    std::map<OpId, double> level_want, level_have;
 };
 
 struct Allotment {
@@ -188,8 +201,12 @@
 struct Governor::Mind {
     // Derived at the start; the settings as told are not kept.
     int zones;
-    OpMask all_ops = 0, own_ops = 0, open_ops = 0, again_ops = 0;
-    bool levels_by_rate, equal_weights, ask, slices, exclusive;
+    OpMask all_ops = 0, own_ops = 0, open_ops = 0;
+    Admit admit;
+    bool equal_weights, ask, slices, exclusive;
+    std::vector<OpId> cheap_first;
+    std::vector<double> work;
+    double cold_from, fall_room;
     int proxies, messages_most;
     Micros quick_objective{Micros::max()}, cold_time, messages_bucket, owner_wait;
     double rate, head, lines_most;
@@ -200,24 +217,25 @@
     std::map<ProxyId, Proxy> fleet;
     std::map<TableId, Table> tables;
     std::map<TableId, Micros> vacant;
-    std::vector<double> share;
+    std::vector<double> share, shed;
     std::map<ServerId, ZoneId> placed;
     std::string full_because;
-    bool full = false, beating = false, watching = false, again_on = true, jammed = false;
-    std::pair<int, int> ordered{-1, -1};
+    bool full = false, beating = false, watching = false;
     int off_rounds = 0, calm_rounds = 0, rounds = 0, mark = 0;
-    Micros next_round{}, watch_at{}, drained_at{};
+    Micros next_round{}, next_shed{}, watch_at{}, drained_at{};
     double waiting = 0, written = 0;
     std::map<int, double> before_mark;
     std::vector<Action> out;
 
     Mind(const Settings& s, std::uint64_t seed, Micros now)
         : zones(s.zones),
-          levels_by_rate(s.admit == Admit::Rate),
+          admit(s.admit),
           equal_weights(s.listed == Listed::None || s.listed == Listed::Live),
           ask(s.ask_for_list),
           slices(s.slices > 0),
           exclusive(s.exclusive),
+          cold_from(s.cold_from),
+          fall_room(s.fall_multiple / kRushed / (s.pick == Pick::Two ? 2 : 1)),
           proxies(s.proxies),
           messages_most(s.messages_most),
           cold_time(s.cold_time),
@@ -228,19 +246,23 @@
           lines_most(s.lines_most > 0 ? s.lines_most : 1e18),
           chance(static_cast<std::uint32_t>(seed ^ seed >> 32)),
           share(static_cast<std::size_t>(s.zones), 0.0),
+          shed(share),
           next_round(now + kRound),
           drained_at(now) {
+        std::vector<double> value;
         for (std::size_t k = 0; k < s.operations.size(); ++k) {
             const Operation& op = s.operations[k];
             const OpMask bit = OpMask{1} << k;
             all_ops |= bit;
             (op.own_zone ? own_ops : open_ops) |= bit;
-            const bool repeats = op.effect == Effect::Idempotent ||
-                                 (op.effect == Effect::Fingerprinted && op.scope == Scope::All &&
-                                  op.fingerprint_ttl > op.integration_timeout + s.settle);
-            if (repeats) again_ops |= bit;
+            work.push_back(std::max(1e-3, seconds(op.latency_objective)));
+            value.push_back(op.billed_value / work.back());
+            cheap_first.push_back({static_cast<int>(k)});
             quick_objective = std::min(quick_objective, op.latency_objective);
         }
+        std::stable_sort(cheap_first.begin(), cheap_first.end(), [&](OpId a, OpId b) {
+            return value[static_cast<std::size_t>(a.v)] < value[static_cast<std::size_t>(b.v)];
+        });
     }
 
     void log(std::string text) { out.push_back(act::Log{std::move(text)}); }
@@ -448,13 +470,95 @@
         }
     }
 
+    // ---- levels --------------------------------------------------------------------------------------
+
+    // An overload shows in the middle server of a zone, whatever its cause; single bad servers do not move it.
+    void weigh_pressure(Micros now) {
+        if (now < next_shed || admit == Admit::None) return;
+        next_shed = now + kShedEvery;
+        for (int z = 0; z < zones; ++z) {
+            std::vector<double> bads;
+            for (auto it = standings.lower_bound({{z}, ServerId{0}});
+                 it != standings.end() && it->first.first.v == z; ++it) {
+                const Met met = it->second.met.sum(now, kMetBucket, 3);
+                if (it->second.phase == Phase::In && met.tries >= kFewTries) bads.push_back(met.bad());
+            }
+            double& s = shed[static_cast<std::size_t>(z)];
+            const double bad = median(bads);
+            if (bads.size() >= 2 && bad > kJamPart) s = std::min(kShedMost, s + kShedStep);
+            else if (bad < kCalmPart) s = std::max(0.0, s - kShedStep / 2);
+        }
+    }
+
+    // Of the zone's asked-for work the part `cut` stays out, the operation that bills least for its work first.
+    // -1 as zone means all zones together.
+    void set_levels(Micros now, TableId id, int z, OpMask ops, double cut, double own_part) {
+        std::vector<std::vector<double>> rates(work.size());
+        double asked = 0;
+        for (const auto& [pid, proxy] : fleet) {
+            if (!proxy.joined || (z >= 0 && proxy.zone.v != z)) continue;
+            for (std::size_t k = 0; k < work.size(); ++k) {
+                const auto it = proxy.came.find({static_cast<int>(k)});
+                const Came came = it == proxy.came.end() ? Came{} : it->second.sum(now, kDemandBucket);
+                rates[k].push_back(came.span > 0 ? came.count / came.span : 0);
+                asked += rates[k].back() * work[k];
+            }
+        }
+        double to_cut = cut * asked;
+        for (const OpId op : cheap_first) {
+            const auto k = static_cast<std::size_t>(op.v);
+            double sum = 0;
+            for (const double r : rates[k]) sum += r;
+            double in = 1;
+            if (sum > 0 && to_cut > 0) in = std::max(kLeastIn, 1 - to_cut / (sum * work[k]));
+            to_cut -= (1 - in) * sum * work[k];
+            if (!(ops >> k & 1)) continue;
+            in = std::floor(std::min(in, own_ops >> k & 1 ? own_part : 1.0) * 20) / 20;
+            tables[id].level_want[op] = admit == Admit::Share ? in : in >= 1 ? kAnyRate : cap_for(rates[k], in);
+        }
+    }
+
+    // The rate a proxy that keeps the part `in` of what all of them ask for: the busiest are cut first.
+    static double cap_for(std::vector<double> rates, double in) {
+        double left = 0;
+        for (const double r : rates) left += r * in;
+        std::sort(rates.begin(), rates.end());
+        for (std::size_t k = 0; k < rates.size(); ++k) {
+            const double even = left / static_cast<double>(rates.size() - k);
+            if (even <= rates[k]) return std::max(0.1, std::round(even * 10) / 10);
+            left -= rates[k];
+        }
+        return kAnyRate;
+    }
+
+    void want_levels(Micros now) {
+        if (admit == Admit::None || work.empty()) return;
+        double mean = 0;
+        for (const double s : shed) mean += s / zones;
+        set_levels(now, full_table(), -1, open_ops, mean, 1);
+        for (int z = 0; z < zones; ++z) {
+            double carried = 0, listed = 0;
+            for (const auto& [id, server] : servers) {
+                if (server.zone.v != z || server.state != ServerState::Ready) continue;
+                listed += server.weight;
+                carried += server.weight * eased(now, server);
+            }
+            const double warm = listed > 0 ? std::min(1.0, 2 * carried / listed) : 1;
+            set_levels(now, zone_table({z}), z, open_ops, shed[static_cast<std::size_t>(z)], 1);
+            if (own_ops) set_levels(now, own_table({z}), z, own_ops, shed[static_cast<std::size_t>(z)], warm);
+        }
+    }
+
     // ---- the wanted state ----------------------------------------------------------------------------
 
-    // DESIGN: a quarter, rising; the steps are quarters so that a ramp costs three pushes.
+    // DESIGN: a quarter, rising. Lower where a quarter of a jam's load could push the server over: what it surely
+    // can do rises evenly from the cold share, and of two drawn the idle newcomer is mostly the one picked.
     double eased(Micros now, const Server& server) const {
         if (cold_time <= Micros{0} || server.started <= Micros{0} || server.started + cold_time <= now) return 1;
-        const double age = seconds(now - server.started) / seconds(cold_time);
-        return std::max(kFreshPart, std::floor(age * 4) / 4);
+        const double age = std::max(0.0, seconds(now - server.started) / seconds(cold_time));
+        const double step = std::floor(age * 4) / 4;
+        const double bears = fall_room > 0 ? fall_room * (cold_from + (1 - cold_from) * step) : 1;
+        return std::min(std::max(kFreshPart, step), bears);
     }
     double part_in(Micros now, ZoneId z, ServerId id, const Server& server) const {
         const auto it = standings.find({z, id});
@@ -533,10 +637,13 @@
         return waiting + lines <= lines_most * (must ? kMustGoPart : kCanWaitPart);
     }
 
-    static bool uses(const Proxy& proxy, TableId id) {
-        for (const auto& [ops, table] : proxy.bound)
-            if (table == id) return true;
-        return false;
+    std::vector<ProxyId> users_of(TableId id) const {
+        std::vector<ProxyId> users;
+        for (const auto& [pid, proxy] : fleet)
+            if (proxy.joined && std::any_of(proxy.bound.begin(), proxy.bound.end(),
+                                            [&](const auto& b) { return b.second == id; }))
+                users.push_back(pid);
+        return users;
     }
 
     // Marks answered or two seconds gone: the table may change again.
@@ -547,8 +654,10 @@
     void emit(Micros now) {
         drain_channel(now);
         std::map<ProxyId, double> touched;
-        emit_levels(now, touched);
-        for (auto& [id, table] : tables) emit_table(now, id, table, touched);
+        for (auto& [id, table] : tables) {
+            if (admit != Admit::None) emit_levels(now, id, table, touched);
+            emit_table(now, id, table, touched);
+        }
         for (auto& [id, proxy] : fleet) emit_binding(now, id, proxy, touched);
         if (touched.empty()) return;
         mark = (mark + 1) % 65536;
@@ -574,13 +683,9 @@
             if (it != table.have.end() && weight < it->second) must = true;
         }
         if (lines.empty()) return;
-        std::vector<ProxyId> users;
-        bool room = true;
-        for (const auto& [pid, proxy] : fleet)
-            if (proxy.joined && uses(proxy, id)) {
-                users.push_back(pid);
-                room = room && may_write(now, proxy, must);
-            }
+        const auto users = users_of(id);
+        const bool room = std::all_of(users.begin(), users.end(),
+                                      [&](ProxyId p) { return may_write(now, fleet[p], must); });
         const double cost = static_cast<double>(users.size()) * (head + 3 + static_cast<double>(lines.size()));
         if (!users.empty() && (!fits(cost, must) || !room || (!must && !paced(now, table)))) return;
         for (const auto& [server, weight] : lines) {
@@ -610,16 +715,23 @@
         waiting += cost;
     }
 
-    // A further try after any failure saves what a hung or failing server swallows; a jam of all makes it waste.
-    void emit_levels(Micros, std::map<ProxyId, double>& touched) {
-        if (!again_ops) return;
-        const std::pair<int, int> wanted{jammed ? 1 : 2, 0};
-        if (wanted == ordered) return;
-        ordered = wanted;
-        out.push_back(act::Level{kEveryTable, again_ops, levels_by_rate ? 1e6 : 1.0,
-                                 static_cast<Again>(wanted.first)});
-        for (const auto& [id, proxy] : fleet)
-            if (proxy.joined) touched[id] += 1;
+    void emit_levels(Micros now, TableId id, Table& table, std::map<ProxyId, double>& touched) {
+        if (table.level_want == table.level_have || table.want.empty()) return;
+        const auto users = users_of(id);
+        const double cost = static_cast<double>(users.size()) * (head + 6);
+        const bool room = std::all_of(users.begin(), users.end(),
+                                      [&](ProxyId p) { return may_write(now, fleet[p], false); });
+        if (!users.empty() && (!fits(cost, false) || !room || !paced(now, table))) return;
+        for (const auto& [op, let_in] : table.level_want) {
+            const auto it = table.level_have.find(op);
+            if (it != table.level_have.end() && it->second == let_in) continue;
+            out.push_back(act::Level{id, OpMask{1} << op.v, let_in, Again::AfterProof});
+            for (const ProxyId user : users) touched[user] += 1;
+        }
+        table.level_have = table.level_want;
+        table.unacked = {users.begin(), users.end()};
+        table.pushed = now;
+        table.mark = (mark + 1) % 65536;
     }
 
     // ---- slices: legal and plain ----------------------------------------------------------------------
@@ -665,7 +777,9 @@
             if (rounds == 0) share = shares(now);
             if (now >= next_round) round(now);
             judge(now);
+            weigh_pressure(now);
             want(now);
+            want_levels(now);
             emit(now);
         }
         if (!beating) {
