--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -47,11 +47,11 @@
 constexpr Micros kMetBucket = 1s;
 constexpr int kMetWindow = 4;
 constexpr double kFewTries = 4;
-constexpr double kBadPart = 0.3;
+constexpr double kBadPart = 0.4;
 constexpr double kWorseBy = 3;
-constexpr double kSlowBy = 3;
-constexpr double kMostOut = 0.5;
-constexpr double kDeadPart = 0.8;
+constexpr double kSlowBy = 4;
+constexpr double kMostOut = 0.34;
+constexpr double kDeadPart = 0.98;
 constexpr Micros kOutFirst = 6s;
 constexpr Micros kOutMost = 24s;
 constexpr Micros kTrialMost = 5s;
@@ -444,7 +444,7 @@
                                  (met.bad() >= kWorseBy * usual_bad || (zone_dead && met.bad() >= kDeadPart));
             const bool crawling = met.tries - met.errored >= few && usual_mean > 0 &&
                                   met.mean() >= kSlowBy * usual_mean &&
-                                  met.mean() >= 0.5 * seconds(quick_objective);
+                                  met.mean() >= seconds(quick_objective);
             if (standing.phase == Phase::Out) {
                 if (now < standing.until) continue;
                 standing.phase = Phase::Trial;
