--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -135,6 +135,7 @@
 struct Allotment {
     std::string full_because;
     std::map<ServerId, ZoneId> at;
+    std::vector<double> carried;
 };
 
 // One server as the allotment sees it: listed weight (mean 1) and what it carries now.
@@ -193,6 +194,8 @@
         *most -= pick->carries;
         *least += pick->carries;
     }
+    out.carried.assign(zones, 0.0);
+    for (const Share& s : servers) out.carried[static_cast<std::size_t>(out.at[s.server].v)] += s.carries;
     return out;
 }
 
@@ -222,7 +225,7 @@
     std::string full_because;
     bool full = false, beating = false, watching = false;
     int off_rounds = 0, calm_rounds = 0, rounds = 0, mark = 0;
-    Micros next_round{}, next_shed{}, watch_at{}, drained_at{};
+    Micros next_round{}, next_haste{}, next_shed{}, watch_at{}, drained_at{};
     double waiting = 0, written = 0;
     std::map<int, double> before_mark;
     std::vector<Action> out;
@@ -566,6 +569,15 @@
         return server.weight * std::min(eased(now, server), trial ? kFreshPart : 1.0);
     }
 
+    // What the hardest-pressed zone's servers carry, as a multiple of the mean.
+    static double worst_load(const std::vector<double>& demand, const std::vector<double>& carried) {
+        double all = 0, worst = 0;
+        for (const double c : carried) all += c;
+        for (std::size_t z = 0; z < carried.size(); ++z)
+            if (demand[z] > 0) worst = std::max(worst, demand[z] * all / std::max(1e-9, carried[z]));
+        return worst;
+    }
+
     void want(Micros now) {
         std::vector<Share> ready;
         double mean = 0;
@@ -578,6 +590,16 @@
         if (!ready.empty()) mean /= static_cast<double>(ready.size());
         for (Share& s : ready) s.listed /= mean, s.carries /= mean;
         Allotment next = allot(share, ready, placed);
+        // The hold rounds are for drift; a zone past the design's own ceiling is not left there to wait.
+        if (const auto fresh = shares(now); next.full_because.empty() && now >= next_haste &&
+                                            worst_load(fresh, next.carried) > 1 + kOverload) {
+            share = fresh;
+            off_rounds = 0;
+            next_haste = now + kAckWait;
+            next = allot(share, ready, placed);
+        }
+        if (next.full_because.empty() && worst_load(share, next.carried) > 1 + kOverload + 0.1)
+            next.full_because = "a zone stays over the ceiling after all moves";
         if (!next.full_because.empty()) {
             if (!full) log("full table for all: " + next.full_because);
             full = true;
