--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -50,6 +50,7 @@
 constexpr double kBadPart = 0.4;
 constexpr double kWorseBy = 3;
 constexpr double kSlowBy = 4;
+constexpr double kHurtPart = 0.05;
 constexpr double kMostOut = 0.34;
 constexpr double kDeadPart = 0.98;
 constexpr Micros kOutFirst = 6s;
@@ -221,6 +222,7 @@
     std::map<TableId, Table> tables;
     std::map<TableId, Micros> vacant;
     std::vector<double> share, shed;
+    std::vector<char> hurt;
     std::map<ServerId, ZoneId> placed;
     std::string full_because;
     bool full = false, beating = false, watching = false;
@@ -250,6 +252,7 @@
           chance(static_cast<std::uint32_t>(seed ^ seed >> 32)),
           share(static_cast<std::size_t>(s.zones), 0.0),
           shed(share),
+          hurt(share.size(), 0),
           next_round(now + kRound),
           drained_at(now) {
         std::vector<double> value;
@@ -437,6 +440,7 @@
             if (met.mean() > 0) means.push_back(met.mean());
             dead += met.bad() >= kDeadPart;
         }
+        hurt[static_cast<std::size_t>(z.v)] = here.bad() > kHurtPart || here.mean() > 0.5 * seconds(quick_objective);
         const double usual_bad = median(bads), usual_mean = median(means);
         const Met rest{everywhere.tries - here.tries, everywhere.errored - here.errored, 0};
         const bool zone_dead = dead * 4 >= members * 3 && rest.tries > kFewTries && rest.bad() < kBadPart;
@@ -570,11 +574,12 @@
     }
 
     // What the hardest-pressed zone's servers carry, as a multiple of the mean.
-    static double worst_load(const std::vector<double>& demand, const std::vector<double>& carried) {
+    double worst_load(const std::vector<double>& demand, const std::vector<double>& carried,
+                      bool only_hurt = false) const {
         double all = 0, worst = 0;
         for (const double c : carried) all += c;
         for (std::size_t z = 0; z < carried.size(); ++z)
-            if (demand[z] > 0) worst = std::max(worst, demand[z] * all / std::max(1e-9, carried[z]));
+            if (demand[z] > 0 && (!only_hurt || hurt[z])) worst = std::max(worst, demand[z] * all / std::max(1e-9, carried[z]));
         return worst;
     }
 
@@ -598,7 +603,7 @@
             next_haste = now + kAckWait;
             next = allot(share, ready, placed);
         }
-        if (next.full_because.empty() && worst_load(share, next.carried) > 1 + kOverload + 0.1)
+        if (next.full_because.empty() && worst_load(share, next.carried, true) > 1 + kOverload + 0.1)
             next.full_because = "a zone stays over the ceiling after all moves";
         if (!next.full_because.empty()) {
             if (!full) log("full table for all: " + next.full_because);
