In a jam cold servers carry less, in a deep one nothing until warm

Cause: clients and refusals made 12 tries an answer, so even a small weight overran them; told from a plain ramp fault by the tries a request. Change: one pressure figure, tries an answer or any lowered level, remembered for a cold time. Should also cover returns after a zone loss in an overload.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -30,6 +30,8 @@
 constexpr double kFreshPart = 0.25;
 // A cold server may meet this many times its usual load per weight (retries, an overload, a burst at once).
 constexpr double kRushed = 3;
+// At this many tries an answer (or with levels lowered) cold servers wait outside until they are warm.
+constexpr double kDeepJam = 4;
 // A level goes down a step a second while the middle server of a zone errors above the first, and comes back
 // half as fast under the second; no operation goes under the least, so that its recovery can be seen.
 constexpr double kJamPart = 0.2;
@@ -222,6 +224,8 @@
     std::map<TableId, Table> tables;
     std::map<TableId, Micros> vacant;
     std::vector<double> share, shed;
+    double rush = 1;
+    Micros rush_until{};
     std::vector<char> hurt;
     std::map<ServerId, ZoneId> placed;
     std::string full_because;
@@ -418,6 +422,12 @@
         for (auto& [key, standing] : standings)
             if (listed_ready(key.second)) everywhere += standing.met.sum(now, kMetBucket, kMetWindow);
         for (int z = 0; z < zones; ++z) judge_zone(now, {z}, everywhere);
+        // In a jam a server is sent many times what gets answered, and a jam that levels hold down is back within
+        // one report (seen where a fleet was enlarged in an overload): cold servers are spared for a cold time.
+        double jam = everywhere.tries >= kFewTries ? 1 / std::max(0.05, 1 - everywhere.bad()) : 1;
+        if (std::any_of(shed.begin(), shed.end(), [](double s) { return s > 0; })) jam = std::max(jam, kDeepJam);
+        jam = std::exp2(std::ceil(std::log2(jam) - 0.4));
+        if (jam >= rush || now >= rush_until) rush = jam, rush_until = now + cold_time;
     }
 
     void judge_zone(Micros now, ZoneId z, const Met& everywhere) {
@@ -548,7 +558,7 @@
             for (const auto& [id, server] : servers) {
                 if (server.zone.v != z || server.state != ServerState::Ready) continue;
                 listed += server.weight;
-                carried += server.weight * eased(now, server);
+                carried += server.weight * eased(now, server, 1);
             }
             const double warm = listed > 0 ? std::min(1.0, 2 * carried / listed) : 1;
             set_levels(now, zone_table({z}), z, open_ops, shed[static_cast<std::size_t>(z)], 1);
@@ -560,17 +570,18 @@
 
     // DESIGN: a quarter, rising. Lower where a quarter of a jam's load could push the server over: what it surely
     // can do rises evenly from the cold share, and of two drawn the idle newcomer is mostly the one picked.
-    double eased(Micros now, const Server& server) const {
+    double eased(Micros now, const Server& server, double pressed) const {
         if (cold_time <= Micros{0} || server.started <= Micros{0} || server.started + cold_time <= now) return 1;
         const double age = std::max(0.0, seconds(now - server.started) / seconds(cold_time));
+        if (pressed >= kDeepJam) return 0;
         const double step = std::floor(age * 4) / 4;
-        const double bears = fall_room > 0 ? fall_room * (cold_from + (1 - cold_from) * step) : 1;
+        const double bears = fall_room > 0 ? fall_room / pressed * (cold_from + (1 - cold_from) * step) : 1;
         return std::min(std::max(kFreshPart, step), bears);
     }
     double part_in(Micros now, ZoneId z, ServerId id, const Server& server) const {
         const auto it = standings.find({z, id});
         const bool trial = it != standings.end() && it->second.phase == Phase::Trial;
-        return server.weight * std::min(eased(now, server), trial ? kFreshPart : 1.0);
+        return server.weight * std::min(eased(now, server, rush), trial ? kFreshPart : 1.0);
     }
 
     // What the hardest-pressed zone's servers carry, as a multiple of the mean.
@@ -619,7 +630,10 @@
             const Server& server = servers[s.server];
             int out_in = 0;
             for (int z = 0; z < zones; ++z) out_in += is_out({z}, s.server);
-            if (out_in * 2 < zones) tables[full_table()].want[s.server] = server.weight * eased(now, server);
+            if (const double part = eased(now, server, rush); part > 0 && out_in * 2 < zones)
+                tables[full_table()].want[s.server] = server.weight * part;
+            else if (part <= 0)
+                continue;
             if (const auto it = placed.find(s.server); it != placed.end() && !is_out(it->second, s.server))
                 tables[zone_table(it->second)].want[s.server] = part_in(now, it->second, s.server, server);
             if (own_ops && server.zone.v >= 0 && server.zone.v < zones && !is_out(server.zone, s.server))
