--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,11 +1,13 @@
 // The decisions of badgergrade. The interface is logic.h: make one Governor an instance, take() each event,
 // then decide() once a moment. The ordinary path is the zone allotment of the design page (docs/design.md).
 // Mechanisms beside the design, six at most:
-//   1. verdicts: servers that fail or crawl for one zone's proxies leave that zone's table, and come by trial;
+//   1. verdicts: servers that fail or crawl for one zone's proxies leave that zone's table, and come by
+//   trial;
 //   2. easing in: cold servers carry a part of their weight, in tables and in the allotment alike;
 //   3. mode hold: after a full table, zone tables come back only when feasible for the hold rounds;
 //   4. channel guard: orders that can wait do so while lines or messages are short;
-//   5. levels: while the middle server of a zone fails, its proxies let in what bills least for its work last;
+//   5. levels: while the middle server of a zone fails, its proxies let in what bills least for its work
+//   last;
 //      the same orders keep an own-zone table of cold servers from being handed the zone's whole demand.
 #include "logic.h"
 
@@ -53,6 +55,11 @@
 constexpr double kWorseBy = 3;
 constexpr double kSlowBy = 4;
 constexpr double kHurtPart = 0.05;
+constexpr char kUnheard = 0, kCalm = 1, kHurt = 2;
+// Where proxies disregard levels, spreading is the only relief and comes earlier.
+constexpr double kSpreadAt = 1.2;
+constexpr double kSpreadNoLevels = 1.1;
+constexpr double kSpreadBlindAt = 1.3;
 constexpr double kMostOut = 0.34;
 constexpr double kDeadPart = 0.98;
 constexpr Micros kOutFirst = 6s;
@@ -163,9 +170,12 @@
     }
     const auto asking = std::count_if(demand.begin(), demand.end(), [](double d) { return d > 0; });
     for (const double d : demand) minimums += minimum_for(d * listed);
-    if (asking < 2) out.full_because = "under two zones";
-    else if (static_cast<std::size_t>(asking) > servers.size()) out.full_because = "more zones than servers";
-    else if (minimums > listed + 1e-9) out.full_because = "minimums exceed the servers";
+    if (asking < 2)
+        out.full_because = "under two zones";
+    else if (static_cast<std::size_t>(asking) > servers.size())
+        out.full_because = "more zones than servers";
+    else if (minimums > listed + 1e-9)
+        out.full_because = "minimums exceed the servers";
     if (!out.full_because.empty()) return out;
 
     std::vector<double> over(zones, 0.0);
@@ -329,8 +339,10 @@
     }
     void on(Micros, const ev::SliceDemand&) {}
     void on(Micros, const ev::SliceGiven& e) {
-        if (e.given) tables[e.slice] = {};
-        else tables.erase(e.slice);
+        if (e.given)
+            tables[e.slice] = {};
+        else
+            tables.erase(e.slice);
         vacant.erase(e.slice);
     }
     void on(Micros, const ev::SliceLine& e) {
@@ -416,16 +428,19 @@
     }
 
     // Hung, failing and crawling servers differ from an overload of all: the middle one of the zone is the
-    // measure, and at most half of a zone may be out unless nearly all of it is dead while other zones answer.
+    // measure, and at most half of a zone may be out unless nearly all of it is dead while other zones
+    // answer.
     void judge(Micros now) {
         Met everywhere;
         for (auto& [key, standing] : standings)
             if (listed_ready(key.second)) everywhere += standing.met.sum(now, kMetBucket, kMetWindow);
         for (int z = 0; z < zones; ++z) judge_zone(now, {z}, everywhere);
-        // In a jam a server is sent many times what gets answered, and a jam that levels hold down is back within
-        // one report (seen where a fleet was enlarged in an overload): cold servers are spared for a cold time.
+        // In a jam a server is sent many times what gets answered, and a jam that levels hold down is back
+        // within one report (seen where a fleet was enlarged in an overload): cold servers are spared for a
+        // cold time.
         double jam = everywhere.tries >= kFewTries ? 1 / std::max(0.05, 1 - everywhere.bad()) : 1;
-        if (std::any_of(shed.begin(), shed.end(), [](double s) { return s > 0; })) jam = std::max(jam, kDeepJam);
+        if (std::any_of(shed.begin(), shed.end(), [](double s) { return s > 0; }))
+            jam = std::max(jam, kDeepJam);
         jam = std::exp2(std::ceil(std::log2(jam) - 0.4));
         if (jam >= rush || now >= rush_until) rush = jam, rush_until = now + cold_time;
     }
@@ -450,7 +465,10 @@
             if (met.mean() > 0) means.push_back(met.mean());
             dead += met.bad() >= kDeadPart;
         }
-        hurt[static_cast<std::size_t>(z.v)] = here.bad() > kHurtPart || here.mean() > 0.5 * seconds(quick_objective);
+        hurt[static_cast<std::size_t>(z.v)] =
+            here.tries < kFewTries                                                   ? kUnheard
+            : here.bad() > kHurtPart || here.mean() > 0.5 * seconds(quick_objective) ? kHurt
+                                                                                     : kCalm;
         const double usual_bad = median(bads), usual_mean = median(means);
         const Met rest{everywhere.tries - here.tries, everywhere.errored - here.errored, 0};
         const bool zone_dead = dead * 4 >= members * 3 && rest.tries > kFewTries && rest.bad() < kBadPart;
@@ -489,7 +507,8 @@
 
     // ---- levels --------------------------------------------------------------------------------------
 
-    // An overload shows in the middle server of a zone, whatever its cause; single bad servers do not move it.
+    // An overload shows in the middle server of a zone, whatever its cause; single bad servers do not move
+    // it.
     void weigh_pressure(Micros now) {
         if (now < next_shed || admit == Admit::None) return;
         next_shed = now + kShedEvery;
@@ -502,13 +521,15 @@
             }
             double& s = shed[static_cast<std::size_t>(z)];
             const double bad = median(bads);
-            if (bads.size() >= 2 && bad > kJamPart) s = std::min(kShedMost, s + kShedStep);
-            else if (bad < kCalmPart) s = std::max(0.0, s - kShedStep / 2);
+            if (bads.size() >= 2 && bad > kJamPart)
+                s = std::min(kShedMost, s + kShedStep);
+            else if (bad < kCalmPart)
+                s = std::max(0.0, s - kShedStep / 2);
         }
     }
 
-    // Of the zone's asked-for work the part `cut` stays out, the operation that bills least for its work first.
-    // -1 as zone means all zones together.
+    // Of the zone's asked-for work the part `cut` stays out, the operation that bills least for its work
+    // first. -1 as zone means all zones together.
     void set_levels(Micros now, TableId id, int z, OpMask ops, double cut, double own_part) {
         std::vector<std::vector<double>> rates(work.size());
         double asked = 0;
@@ -531,7 +552,9 @@
             to_cut -= (1 - in) * sum * work[k];
             if (!(ops >> k & 1)) continue;
             in = std::floor(std::min(in, own_ops >> k & 1 ? own_part : 1.0) * 20) / 20;
-            tables[id].level_want[op] = admit == Admit::Share ? in : in >= 1 ? kAnyRate : cap_for(rates[k], in);
+            tables[id].level_want[op] = admit == Admit::Share ? in
+                                        : in >= 1             ? kAnyRate
+                                                              : cap_for(rates[k], in);
         }
     }
 
@@ -550,8 +573,14 @@
 
     void want_levels(Micros now) {
         if (admit == Admit::None || work.empty()) return;
-        double mean = 0;
-        for (const double s : shed) mean += s / zones;
+        // Only zones with proxies of this governor's own count: the others' jams are not heard here.
+        double mean = 0, heads = 0;
+        for (const auto& [id, proxy] : fleet) {
+            if (!proxy.joined || proxy.zone.v < 0 || proxy.zone.v >= zones) continue;
+            mean += shed[static_cast<std::size_t>(proxy.zone.v)];
+            heads += 1;
+        }
+        if (heads > 0) mean /= heads;
         set_levels(now, full_table(), -1, open_ops, mean, 1);
         for (int z = 0; z < zones; ++z) {
             double carried = 0, listed = 0;
@@ -568,10 +597,12 @@
 
     // ---- the wanted state ----------------------------------------------------------------------------
 
-    // DESIGN: a quarter, rising. Lower where a quarter of a jam's load could push the server over: what it surely
-    // can do rises evenly from the cold share, and of two drawn the idle newcomer is mostly the one picked.
+    // DESIGN: a quarter, rising. Lower where a quarter of a jam's load could push the server over: what it
+    // surely can do rises evenly from the cold share, and of two drawn the idle newcomer is mostly the one
+    // picked.
     double eased(Micros now, const Server& server, double pressed) const {
-        if (cold_time <= Micros{0} || server.started <= Micros{0} || server.started + cold_time <= now) return 1;
+        if (cold_time <= Micros{0} || server.started <= Micros{0} || server.started + cold_time <= now)
+            return 1;
         const double age = std::max(0.0, seconds(now - server.started) / seconds(cold_time));
         if (pressed >= kDeepJam) return 0;
         const double step = std::floor(age * 4) / 4;
@@ -590,10 +621,16 @@
         double all = 0, worst = 0;
         for (const double c : carried) all += c;
         for (std::size_t z = 0; z < carried.size(); ++z)
-            if (demand[z] > 0 && (!only_hurt || hurt[z])) worst = std::max(worst, demand[z] * all / std::max(1e-9, carried[z]));
+            if (demand[z] > 0 && (!only_hurt || hurt[z] == kHurt))
+                worst = std::max(worst, demand[z] * all / std::max(1e-9, carried[z]));
         return worst;
     }
 
+    // Whether spreading a hurt zone's demand has somewhere to go, as far as this governor hears.
+    bool others_calm() const {
+        return std::any_of(hurt.begin(), hurt.end(), [](char h) { return h == kCalm; });
+    }
+
     void want(Micros now) {
         std::vector<Share> ready;
         double mean = 0;
@@ -614,7 +651,10 @@
             next_haste = now + kAckWait;
             next = allot(share, ready, placed);
         }
-        if (next.full_because.empty() && worst_load(share, next.carried, true) > 1 + kOverload + 0.1)
+        if (next.full_because.empty() &&
+            worst_load(share, next.carried, true) > (!others_calm()         ? kSpreadBlindAt
+                                                     : admit == Admit::None ? kSpreadNoLevels
+                                                                            : kSpreadAt))
             next.full_because = "a zone stays over the ceiling after all moves";
         if (!next.full_because.empty()) {
             if (!full) log("full table for all: " + next.full_because);
@@ -658,7 +698,8 @@
         std::map<OpMask, TableId> wanted;
         const bool known = proxy.zone.v >= 0 && proxy.zone.v < zones;
         const bool whole = full || !known || tables[zone_table(proxy.zone)].want.empty();
-        if (open_ops) wanted[open_ops == all_ops ? 0 : open_ops] = whole ? full_table() : zone_table(proxy.zone);
+        if (open_ops)
+            wanted[open_ops == all_ops ? 0 : open_ops] = whole ? full_table() : zone_table(proxy.zone);
         if (own_ops) wanted[own_ops == all_ops ? 0 : own_ops] = known ? own_table(proxy.zone) : full_table();
         return wanted;
     }
@@ -727,12 +768,15 @@
         const auto users = users_of(id);
         const bool room = std::all_of(users.begin(), users.end(),
                                       [&](ProxyId p) { return may_write(now, fleet[p], must); });
-        const double cost = static_cast<double>(users.size()) * (head + 3 + static_cast<double>(lines.size()));
+        const double cost =
+            static_cast<double>(users.size()) * (head + 3 + static_cast<double>(lines.size()));
         if (!users.empty() && (!fits(cost, must) || !room || (!must && !paced(now, table)))) return;
         for (const auto& [server, weight] : lines) {
             out.push_back(act::Line{id, server, weight});
-            if (weight > 0) table.have[server] = weight;
-            else table.have.erase(server);
+            if (weight > 0)
+                table.have[server] = weight;
+            else
+                table.have.erase(server);
         }
         for (const ProxyId user : users) touched[user] += static_cast<double>(lines.size());
         table.unacked = {users.begin(), users.end()};
