A mild jam no longer keeps cold servers outside; the ramp goes in eighths

Symptom: service 24%, most tries turned away as full. Cause: the jam figure shut the new servers out until warm while the old ones drained; told from a plain overload by the list (15 ready, 7 draining at once).

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -33,7 +33,7 @@
 // A cold server may meet this many times its usual load per weight (retries, an overload, a burst at once).
 constexpr double kRushed = 3;
 // At this many tries an answer (or with levels lowered) cold servers wait outside until they are warm.
-constexpr double kDeepJam = 4;
+constexpr double kDeepJam = 8;
 // A level goes down a step a second while the middle server of a zone errors above the first, and comes back
 // half as fast under the second; no operation goes under the least, so that its recovery can be seen.
 constexpr double kJamPart = 0.2;
@@ -254,7 +254,7 @@
           slices(s.slices > 0),
           exclusive(s.exclusive),
           cold_from(s.cold_from),
-          fall_room(s.fall_multiple / kRushed / (s.pick == Pick::Two ? 2 : 1)),
+          fall_room(s.fall_multiple / (s.pick == Pick::Two ? 2 : 1)),
           proxies(s.proxies),
           messages_most(s.messages_most),
           cold_time(s.cold_time),
@@ -605,8 +605,8 @@
             return 1;
         const double age = std::max(0.0, seconds(now - server.started) / seconds(cold_time));
         if (pressed >= kDeepJam) return 0;
-        const double step = std::floor(age * 4) / 4;
-        const double bears = fall_room > 0 ? fall_room / pressed * (cold_from + (1 - cold_from) * step) : 1;
+        const double step = std::floor(age * 8) / 8;
+        const double bears = fall_room > 0 ? fall_room / std::max(kRushed, pressed) * (cold_from + (1 - cold_from) * step) : 1;
         return std::min(std::max(kFreshPart, step), bears);
     }
     double part_in(Micros now, ZoneId z, ServerId id, const Server& server) const {
