--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -31,7 +31,7 @@
 constexpr Micros kAckWait = 2s;
 constexpr double kFreshPart = 0.25;
 // A cold server may meet this many times its usual load per weight (retries, an overload, a burst at once).
-constexpr double kRushed = 3;
+constexpr double kRushed = 2;
 // At this many tries an answer (or with levels lowered) cold servers wait outside until they are warm.
 constexpr double kDeepJam = 8;
 // A level goes down a step a second while the middle server of a zone errors above the first, and comes back
