--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -769,7 +769,11 @@
     }
 
     void emit_table(Micros now, TableId id, Table& table, const std::vector<ProxyId>& users) {
-        if (table.want.empty() && !users.empty()) return;
+        // Its users could not be bound elsewhere yet, or have nowhere to go: only what is lost leaves it
+        // (cnx-labels big-2, a zone lost: its own-zone table went on naming gone servers).
+        if (table.want.empty() && !users.empty())
+            for (const auto& [server, weight] : table.have)
+                if (listed_ready(server)) table.want[server] = weight;
         std::vector<Action> lines;
         bool must = false;
         for (const auto& [server, weight] : table.have)
