Levels fall in proportion to what errors instead of a fixed step

Cause: in an overload the fixed step took eight seconds to come down while clients came again three times.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -39,6 +39,7 @@
 constexpr double kJamPart = 0.2;
 constexpr double kCalmPart = 0.08;
 constexpr double kShedStep = 0.1;
+constexpr double kShedGain = 0.4;
 constexpr double kShedMost = 0.8;
 constexpr double kLeastIn = 0.1;
 constexpr Micros kShedEvery = 1s;
@@ -525,7 +526,7 @@
             double& s = shed[static_cast<std::size_t>(z)];
             const double bad = median(bads);
             if (bads.size() >= 2 && bad > kJamPart)
-                s = std::min(kShedMost, s + kShedStep);
+                s = std::min(kShedMost, s + (1 - s) * bad * kShedGain);
             else if (bad < kCalmPart)
                 s = std::max(0.0, s - kShedStep / 2);
         }
