Errors beside long answers are no verdict; late answers lower levels too

Also covers any jam that starts as slowness. Harm: a server that both fails and crawls stays in until it answers under a tenth.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -40,6 +40,7 @@
 constexpr double kCalmPart = 0.08;
 constexpr double kShedStep = 0.1;
 constexpr double kShedGain = 0.4;
+constexpr double kLateIsBad = 0.3;
 constexpr double kShedMost = 0.8;
 constexpr double kLeastIn = 0.1;
 constexpr Micros kShedEvery = 1s;
@@ -61,6 +62,8 @@
 constexpr double kSpreadAt = 1.2;
 constexpr double kSpreadNoLevels = 1.1;
 constexpr double kSpreadBlindAt = 1.3;
+constexpr double kLoadedMean = 0.75;
+constexpr double kAllBut = 0.9;
 constexpr double kMostOut = 0.34;
 constexpr double kDeadPart = 0.98;
 constexpr Micros kOutFirst = 6s;
@@ -479,7 +482,9 @@
         for (const auto& [id, met] : seen) {
             Standing& standing = standings[{z, id}];
             const double few = standing.phase == Phase::Trial ? 2 : kFewTries;
-            const bool failing = met.tries >= few && met.errored >= 2 && met.bad() >= kBadPart &&
+            // Long answers beside the errors are an overload's sign: taking such a server out tips the next one.
+            const bool loaded = met.mean() > kLoadedMean * seconds(quick_objective) && met.bad() < kAllBut;
+            const bool failing = met.tries >= few && met.errored >= 2 && met.bad() >= kBadPart && !loaded &&
                                  (met.bad() >= kWorseBy * usual_bad || (zone_dead && met.bad() >= kDeadPart));
             const bool crawling = met.tries - met.errored >= few && usual_mean > 0 &&
                                   met.mean() >= kSlowBy * usual_mean &&
@@ -521,7 +526,8 @@
             for (auto it = standings.lower_bound({{z}, ServerId{0}});
                  it != standings.end() && it->first.first.v == z; ++it) {
                 const Met met = it->second.met.sum(now, kMetBucket, 3);
-                if (it->second.phase == Phase::In && met.tries >= kFewTries) bads.push_back(met.bad());
+                if (it->second.phase == Phase::In && met.tries >= kFewTries)
+                    bads.push_back(std::max(met.bad(), met.mean() > seconds(quick_objective) ? kLateIsBad : 0.0));
             }
             double& s = shed[static_cast<std::size_t>(z)];
             const double bad = median(bads);
