--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -482,7 +482,8 @@
         for (const auto& [id, met] : seen) {
             Standing& standing = standings[{z, id}];
             const double few = standing.phase == Phase::Trial ? 2 : kFewTries;
-            // Long answers beside the errors are an overload's sign: taking such a server out tips the next one.
+            // Long answers beside the errors are an overload's sign: taking such a server out tips the next
+            // one.
             const bool loaded = met.mean() > kLoadedMean * seconds(quick_objective) && met.bad() < kAllBut;
             const bool failing = met.tries >= few && met.errored >= 2 && met.bad() >= kBadPart && !loaded &&
                                  (met.bad() >= kWorseBy * usual_bad || (zone_dead && met.bad() >= kDeadPart));
@@ -527,7 +528,8 @@
                  it != standings.end() && it->first.first.v == z; ++it) {
                 const Met met = it->second.met.sum(now, kMetBucket, 3);
                 if (it->second.phase == Phase::In && met.tries >= kFewTries)
-                    bads.push_back(std::max(met.bad(), met.mean() > seconds(quick_objective) ? kLateIsBad : 0.0));
+                    bads.push_back(
+                        std::max(met.bad(), met.mean() > 0.7 * seconds(quick_objective) ? kLateIsBad : 0.0));
             }
             double& s = shed[static_cast<std::size_t>(z)];
             const double bad = median(bads);
@@ -614,11 +616,13 @@
         if (cold_time <= Micros{0} || server.started <= Micros{0} || server.started + cold_time <= now)
             return 1;
         const double age = std::max(0.0, seconds(now - server.started) / seconds(cold_time));
-        // Proxies that restarted with it have been sending by tables of their own (bkk-render, a zone lost with its
-        // proxies): what they sent must be out of the window before this governor's orders can be counted for it.
+        // Proxies that restarted with it have been sending by tables of their own (bkk-render, a zone lost
+        // with its proxies): what they sent must be out of the window before this governor's orders can be
+        // counted for it.
         if (pressed >= kDeepJam || now < server.known + fall_time) return 0;
         const double step = std::floor(age * 8) / 8;
-        const double bears = fall_room > 0 ? fall_room / std::max(kRushed, pressed) * (cold_from + (1 - cold_from) * step) : 1;
+        const double bears =
+            fall_room > 0 ? fall_room / std::max(kRushed, pressed) * (cold_from + (1 - cold_from) * step) : 1;
         return std::min(std::max(kFreshPart, step), bears);
     }
     double part_in(Micros now, ZoneId z, ServerId id, const Server& server) const {
