--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -65,6 +65,7 @@
 constexpr double kLoadedMean = 0.75;
 constexpr double kAllBut = 0.9;
 constexpr double kMostOut = 0.34;
+constexpr double kMostDead = 0.5;
 constexpr double kDeadPart = 0.98;
 constexpr Micros kOutFirst = 6s;
 constexpr Micros kOutMost = 24s;
@@ -496,7 +497,7 @@
                 standing.until = now + kTrialMost;
                 standing.met = {};
             } else if (failing || crawling) {
-                if (!zone_dead && out_now + 1 > kMostOut * members) continue;
+                if (!zone_dead && out_now + 1 > (met.bad() >= kAllBut ? kMostDead : kMostOut) * members) continue;
                 if (standing.phase == Phase::Trial) standing.stay = std::min(kOutMost, standing.stay * 2);
                 standing.phase = Phase::Out;
                 standing.until = now + standing.stay;
