--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -41,6 +41,9 @@
 constexpr double kShedStep = 0.1;
 constexpr double kShedGain = 0.4;
 constexpr double kLateIsBad = 0.3;
+constexpr double kLateMean = 0.7;
+constexpr double kLateJam = 4;
+constexpr double kManyCold = 0.3;
 constexpr double kShedMost = 0.8;
 constexpr double kLeastIn = 0.1;
 constexpr Micros kShedEvery = 1s;
@@ -435,6 +438,17 @@
         return *mid;
     }
 
+    // Where much of the fleet is cold at once (a rolling release) nobody else can carry its part.
+    double cold_part(Micros now) const {
+        double cold = 0, all = 0;
+        for (const auto& [id, server] : servers) {
+            if (server.state != ServerState::Ready) continue;
+            all += server.weight;
+            if (eased(now, server, 1) < 1) cold += server.weight;
+        }
+        return all > 0 ? cold / all : 0;
+    }
+
     // Hung, failing and crawling servers differ from an overload of all: the middle one of the zone is the
     // measure, and at most half of a zone may be out unless nearly all of it is dead while other zones
     // answer.
@@ -446,9 +460,13 @@
         // In a jam a server is sent many times what gets answered, and a jam that levels hold down is back
         // within one report (seen where a fleet was enlarged in an overload): cold servers are spared for a
         // cold time.
+        // Answers as late as this come with proxies shunning each busy server, so that an idle cold one draws
+        // all (bkk-render, servers back from a crash in an overload).
+        const bool late = everywhere.mean() > kLateMean * seconds(quick_objective);
         double jam = everywhere.tries >= kFewTries ? 1 / std::max(0.05, 1 - everywhere.bad()) : 1;
         if (std::any_of(shed.begin(), shed.end(), [](double s) { return s > 0; }))
             jam = std::max(jam, kDeepJam);
+        if (late && cold_part(now) < kManyCold) jam = std::max(jam, kLateJam);
         jam = std::exp2(std::ceil(std::log2(jam) - 0.4));
         if (jam >= rush || now >= rush_until) rush = jam, rush_until = now + cold_time;
     }
@@ -497,7 +515,8 @@
                 standing.until = now + kTrialMost;
                 standing.met = {};
             } else if (failing || crawling) {
-                if (!zone_dead && out_now + 1 > (met.bad() >= kAllBut ? kMostDead : kMostOut) * members) continue;
+                if (!zone_dead && out_now + 1 > (met.bad() >= kAllBut ? kMostDead : kMostOut) * members)
+                    continue;
                 if (standing.phase == Phase::Trial) standing.stay = std::min(kOutMost, standing.stay * 2);
                 standing.phase = Phase::Out;
                 standing.until = now + standing.stay;
@@ -529,8 +548,8 @@
                  it != standings.end() && it->first.first.v == z; ++it) {
                 const Met met = it->second.met.sum(now, kMetBucket, 3);
                 if (it->second.phase == Phase::In && met.tries >= kFewTries)
-                    bads.push_back(
-                        std::max(met.bad(), met.mean() > 0.7 * seconds(quick_objective) ? kLateIsBad : 0.0));
+                    bads.push_back(std::max(
+                        met.bad(), met.mean() > kLateMean * seconds(quick_objective) ? kLateIsBad : 0.0));
             }
             double& s = shed[static_cast<std::size_t>(z)];
             const double bad = median(bads);
