--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -4,7 +4,8 @@
 //   1. verdicts: servers that fail or crawl for one zone's proxies leave that zone's table, and come by
 //   trial;
 //   2. easing in: cold servers carry a part of their weight, in tables and in the allotment alike;
-//   3. mode hold: after a full table, zone tables come back only when feasible for the hold rounds;
+//   3. mode hold: after a full table, zone tables come back only when feasible for the hold rounds and all
+//      servers are warm (a zone's whole demand overran the cold ones: bkk-render, rule hunt h363ad6);
 //   4. channel guard: orders that can wait do so while lines or messages are short;
 //   5. levels: while the middle server of a zone fails, its proxies let in what bills least for its work
 //   last;
@@ -697,7 +698,7 @@
             full_because = next.full_because;
             full = true;
             calm_rounds = 0;
-        } else if (full && (calm_rounds >= kHoldRounds || rounds == 0)) {
+        } else if (full && ((calm_rounds >= kHoldRounds && cold_part(now) <= 0) || rounds == 0)) {
             full = false;
             log("zone tables again");
         }
