--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -138,6 +138,7 @@
     bool joined = false;
     ZoneId zone;
     double told = 0;
+    Micros since{};
     std::map<OpId, Ring<Came, 8>> came;
     std::map<OpMask, TableId> bound;
     Ring<Came, 16> messages;
@@ -322,13 +323,14 @@
     void on(Micros, const ev::Timer&) { beating = false; }
     void on(Micros, const ev::Probed&) {}
     void on(Micros, const ev::Peer&) {}
-    void on(Micros, const ev::Joined& e) {
+    void on(Micros now, const ev::Joined& e) {
         Proxy& proxy = fleet[e.proxy];
         proxy.joined = true;
         proxy.zone = e.zone;
         proxy.told = e.rate;
         proxy.bound.clear();
         proxy.messages = {};
+        if (e.fresh) proxy.since = now, proxy.came.clear();
     }
     void on(Micros, const ev::Left& e) {
         const auto it = fleet.find(e.proxy);
@@ -347,7 +349,11 @@
     void on(Micros now, const ev::Demand& e) {
         const auto it = fleet.find(e.proxy);
         if (it == fleet.end() || e.span <= Micros{0}) return;
-        it->second.came[e.op].at(now, kDemandBucket) += {static_cast<double>(e.count), seconds(e.span)};
+        // A restarted proxy's first sums reach back over the time it was dead; taken whole, its zone seemed to ask
+        // for a fifth and lost its servers (bkk-render, rule hunt hbad0d9).
+        const Micros span = std::clamp(now - it->second.since, kDemandBucket, std::max(kDemandBucket, e.span));
+        it->second.came[e.op].at(now, kDemandBucket) += {static_cast<double>(e.count),
+                                                         seconds(std::min(span, e.span))};
     }
     void on(Micros, const ev::SliceDemand&) {}
     void on(Micros, const ev::SliceGiven& e) {
