--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -43,7 +43,6 @@
 constexpr double kShedGain = 0.4;
 constexpr double kLateIsBad = 0.3;
 constexpr double kLateMean = 0.7;
-constexpr double kLateJam = 4;
 constexpr double kManyCold = 0.3;
 constexpr double kShedMost = 0.8;
 constexpr double kLeastIn = 0.1;
@@ -473,7 +472,7 @@
         double jam = everywhere.tries >= kFewTries ? 1 / std::max(0.05, 1 - everywhere.bad()) : 1;
         if (std::any_of(shed.begin(), shed.end(), [](double s) { return s > 0; }))
             jam = std::max(jam, kDeepJam);
-        if (late && cold_part(now) < kManyCold) jam = std::max(jam, kLateJam);
+        if (late && cold_part(now) < kManyCold) jam = std::max(jam, kDeepJam);
         jam = std::exp2(std::ceil(std::log2(jam) - 0.4));
         if (jam >= rush || now >= rush_until) rush = jam, rush_until = now + cold_time;
     }
