--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -16,7 +16,6 @@
 #include <array>
 #include <cmath>
 #include <map>
-#include <random>
 #include <set>
 #include <utility>
 
@@ -236,14 +235,14 @@
     Micros quick_objective{Micros::max()}, cold_time, fall_time, messages_bucket, owner_wait;
     double rate, head, lines_most;
 
-    std::ranlux24_base chance;
     std::map<ServerId, Server> servers;
     std::map<std::pair<ZoneId, ServerId>, Standing> standings;
     std::map<ProxyId, Proxy> fleet;
     std::map<TableId, Table> tables;
     std::map<TableId, Micros> vacant;
     std::vector<double> share, shed;
-    double rush = 1;
+    // A governor that starts over in the middle of a jam has no report of it yet (bkk-render, h75aee6).
+    double rush = kDeepJam;
     Micros rush_until{};
     std::vector<char> hurt;
     std::map<ServerId, ZoneId> placed;
@@ -256,7 +255,7 @@
     std::map<ProxyId, double> planned;
     std::vector<Action> out;
 
-    Mind(const Settings& s, std::uint64_t seed, Micros now)
+    Mind(const Settings& s, Micros now)
         : zones(s.zones),
           admit(s.admit),
           equal_weights(s.listed == Listed::None || s.listed == Listed::Live),
@@ -274,12 +273,12 @@
           rate(std::max(1.0, s.channel_rate)),
           head(s.head_lines),
           lines_most(s.lines_most > 0 ? s.lines_most : 1e18),
-          chance(static_cast<std::uint32_t>(seed ^ seed >> 32)),
           share(static_cast<std::size_t>(s.zones), 0.0),
           shed(share),
           hurt(share.size(), 0),
           next_round(now + kRound),
           drained_at(now) {
+        rush_until = now + kRound;
         std::vector<double> value;
         for (std::size_t k = 0; k < s.operations.size(); ++k) {
             const Operation& op = s.operations[k];
@@ -348,11 +347,12 @@
     void on(Micros now, const ev::Demand& e) {
         const auto it = fleet.find(e.proxy);
         if (it == fleet.end() || e.span <= Micros{0}) return;
-        // A restarted proxy's first sums reach back over the time it was dead; taken whole, its zone seemed to ask
-        // for a fifth and lost its servers (bkk-render, rule hunt hbad0d9).
-        const Micros span = std::clamp(now - it->second.since, kDemandBucket, std::max(kDemandBucket, e.span));
-        it->second.came[e.op].at(now, kDemandBucket) += {static_cast<double>(e.count),
-                                                         seconds(std::min(span, e.span))};
+        // A restarted proxy's first sums reach back over the time it was dead; taken whole, its zone seemed
+        // to ask for a fifth and lost its servers (bkk-render, rule hunt hbad0d9).
+        const Micros span =
+            std::clamp(now - it->second.since, kDemandBucket, std::max(kDemandBucket, e.span));
+        it->second.came[e.op].at(now, kDemandBucket) +=
+            {static_cast<double>(e.count), seconds(std::min(span, e.span))};
     }
     void on(Micros, const ev::SliceDemand&) {}
     void on(Micros, const ev::SliceGiven& e) {
@@ -910,8 +910,9 @@
     }
 };
 
-Governor::Governor(const Settings& told, std::uint64_t seed, Micros now)
-    : mind_(std::make_unique<Mind>(told, seed, now)) {}
+// No decision draws lots so far, so the seed has no use yet.
+Governor::Governor(const Settings& told, std::uint64_t, Micros now)
+    : mind_(std::make_unique<Mind>(told, now)) {}
 Governor::~Governor() = default;
 Governor::Governor(Governor&&) noexcept = default;
 Governor& Governor::operator=(Governor&&) noexcept = default;
