--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,13 +1,13 @@
 // The decisions of badgergrade. The interface is logic.h: make one Governor an instance, take() each event,
 // then decide() once a moment. The ordinary path is the zone allotment of the design page (docs/design.md).
 // Mechanisms beside the design, six at most:
-//   1. verdicts: servers that fail or crawl for one zone's proxies leave that zone's table, and come by trial;
-//   2. easing in: cold servers carry a part of their weight, in tables and in the allotment, none in a deep jam;
+//   1. verdicts: servers that fail or crawl for one zone's proxies leave its table, and come back by trial;
+//   2. easing in: cold servers carry a part of their weight, in tables and allotment, none in a deep jam;
 //   3. mode hold: after a full table, zone tables come back only when feasible for the hold rounds and all
 //      servers are warm (a zone's whole demand overran the cold ones: bkk-render, rule hunt h363ad6);
-//   4. the ceiling: past the design's 20% shares follow at once; a hurt zone past it has all on the full table;
-//   5. levels: while the middle server of a zone fails or is late, its proxies let in last what bills least for
-//      its work; the same orders keep an own-zone table of cold servers from its zone's whole demand;
+//   4. the ceiling: past the design's 20% shares follow at once; a hurt zone past it puts all on one table;
+//   5. levels: while the middle server of a zone fails or is late, its proxies let in last what bills least
+//      for its work; the same orders keep an own-zone table of cold servers from its zone's whole demand;
 //   6. channel guard: orders that can wait do so while lines or messages are short.
 #include "logic.h"
 
