Removals go first and alone, the rest in portions the channel bears

Now what is lost or too heavy for a cold server goes first, then bindings, then newcomers and levels, and last what moved away; only as many lines as the channel bears. It should cover every large difference: a zone that returns, a fleet that grows; it could harm where portions use up the messages a proxy may get.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <array>
+#include <bit>
 #include <cmath>
 #include <map>
 #include <set>
@@ -251,7 +252,8 @@
     Micros next_round{}, next_haste{}, next_shed{}, watch_at{}, drained_at{};
     double waiting = 0, written = 0;
     std::map<int, double> before_mark;
-    std::map<ProxyId, double> planned;
+    std::set<ProxyId> planned;
+    double planned_lines = 0;
     std::vector<Action> out;
 
     Mind(const Settings& s, Micros now)
@@ -757,12 +759,12 @@
         const double sent = proxy.messages.sum(now, messages_bucket).count;
         return sent + 1 <= (must ? messages_most - 1 : messages_most * kCanWaitPart);
     }
-    std::vector<ProxyId> users_of(TableId id) const {
-        std::vector<ProxyId> users;
-        for (const auto& [pid, proxy] : fleet)
-            if (proxy.joined && std::any_of(proxy.bound.begin(), proxy.bound.end(),
-                                            [&](const auto& b) { return b.second == id; }))
-                users.push_back(pid);
+    std::map<TableId, std::vector<ProxyId>> users_of_tables() const {
+        std::map<TableId, std::vector<ProxyId>> users;
+        for (const auto& [id, proxy] : fleet)
+            for (const auto& [ops, table] : proxy.bound)
+                if (proxy.joined && (users[table].empty() || users[table].back() != id))
+                    users[table].push_back(id);
         return users;
     }
 
@@ -772,71 +774,111 @@
     }
 
     // Tables nobody uses are laid first, so that a binding finds its table whole and a table is never emptied
-    // under a proxy; all that is ordered at one time is one message a proxy.
+    // under a proxy; then what may not wait, bindings, and the rest. All that is ordered at one time is one
+    // message a proxy.
     void emit(Micros now) {
         drain_channel(now);
         planned.clear();
-        for (auto& [id, table] : tables)
-            if (users_of(id).empty()) emit_table(now, id, table, {});
+        planned_lines = 0;
+        auto users = users_of_tables();
+        for (auto& [id, table] : tables) emit_table(now, id, table, users[id], true);
         for (auto& [id, proxy] : fleet) emit_binding(now, id, proxy);
-        for (auto& [id, table] : tables) emit_table(now, id, table, users_of(id));
+        users = users_of_tables();
+        for (auto& [id, table] : tables) emit_table(now, id, table, users[id], false);
         if (planned.empty()) return;
         mark = next_mark();
         if (before_mark.size() > 64) before_mark.clear();
         before_mark[mark] = written;
         out.push_back(act::Mark{{mark}, false});
-        for (const auto& [id, lines] : planned) {
-            fleet[id].messages.at(now, messages_bucket).count += 1;
-            waiting += head + 1 + lines;
-            written += head + 1 + lines;
-        }
+        for (const ProxyId id : planned) fleet[id].messages.at(now, messages_bucket).count += 1;
+        waiting += planned_lines;
+        written += planned_lines;
     }
     int next_mark() const { return (mark + 1) % 65536; }
 
-    // Room for so many lines more at each of these proxies, heads and marks included.
-    bool room_for(Micros now, const std::vector<ProxyId>& users, double lines, bool must) const {
-        double cost = 0;
-        for (const auto& [id, planned_lines] : planned) cost += head + 1 + planned_lines;
+    // How many lines more each of these proxies may be sent now, heads and marks included.
+    double room_for(Micros now, const std::vector<ProxyId>& users, bool must) const {
+        double heads = 0;
         for (const ProxyId user : users) {
-            if (!planned.contains(user) && !may_write(now, fleet.at(user), must)) return false;
-            cost += lines + (planned.contains(user) ? 0 : head + 1);
+            if (planned.contains(user)) continue;
+            if (!may_write(now, fleet.at(user), must)) return 0;
+            heads += head + 1;
         }
-        return waiting + cost <= lines_most * (must ? kMustGoPart : kCanWaitPart);
+        const double left =
+            lines_most * (must ? kMustGoPart : kCanWaitPart) - waiting - planned_lines - heads;
+        return left / static_cast<double>(users.size());
+    }
+    void plan(const std::vector<ProxyId>& users, double lines) {
+        for (const ProxyId user : users) planned_lines += lines + (planned.insert(user).second ? head + 1 : 0);
+    }
+
+    // A table's difference, the most urgent first: what is lost or too much for a cold server, newcomers and
+    // levels, and last what moved away, so that a part of it leaves the table whole. Only as much goes as the
+    // channel bears: sent whole or not at all, a removal waited with the additions beside it past the grace
+    // for drains (bkk-render-later, incident i918870, many servers gone at once).
+    std::vector<Action> due_lines(TableId id, const Table& table, std::size_t& urgent) const {
+        std::vector<Action> lost, added, moved;
+        bool stays = false;
+        for (const auto& [server, weight] : table.have) {
+            if (table.want.contains(server))
+                stays = true;
+            else
+                (listed_ready(server) ? moved : lost).push_back(act::Line{id, server, 0});
+        }
+        for (const auto& [server, weight] : table.want) {
+            const auto it = table.have.find(server);
+            if (it != table.have.end() && std::abs(it->second - weight) < 1e-9) continue;
+            (it != table.have.end() && weight < it->second ? lost : added)
+                .push_back(act::Line{id, server, weight});
+        }
+        for (const auto& [op, let_in] : table.level_want) {
+            const auto it = table.level_have.find(op);
+            if (it != table.level_have.end() && it->second == let_in) continue;
+            added.push_back(act::Level{id, OpMask{1} << op.v, let_in, Again::AfterProof});
+        }
+        // A table that loses all it has gets newcomers before it is emptied.
+        const bool renewed = !stays && !added.empty() && !lost.empty();
+        urgent = lost.size() + (renewed ? added.size() : 0);
+        std::vector<Action> all(renewed ? added : lost);
+        all.insert(all.end(), renewed ? lost.begin() : added.begin(), renewed ? lost.end() : added.end());
+        all.insert(all.end(), moved.begin(), moved.end());
+        return all;
     }
 
-    void emit_table(Micros now, TableId id, Table& table, const std::vector<ProxyId>& users) {
+    void emit_table(Micros now, TableId id, Table& table, const std::vector<ProxyId>& users, bool must) {
         // Its users could not be bound elsewhere yet, or have nowhere to go: only what is lost leaves it
         // (cnx-labels big-2, a zone lost: its own-zone table went on naming gone servers).
         if (table.want.empty() && !users.empty())
             for (const auto& [server, weight] : table.have)
                 if (listed_ready(server)) table.want[server] = weight;
-        std::vector<Action> lines;
-        bool must = false;
-        for (const auto& [server, weight] : table.have)
-            if (!table.want.contains(server)) lines.push_back(act::Line{id, server, 0}), must = true;
-        for (const auto& [server, weight] : table.want) {
-            const auto it = table.have.find(server);
-            if (it != table.have.end() && std::abs(it->second - weight) < 1e-9) continue;
-            lines.push_back(act::Line{id, server, weight});
-            must = must || (it != table.have.end() && weight < it->second);
+        std::size_t count = 0;
+        const std::vector<Action> lines = due_lines(id, table, count);
+        if (!must || users.empty()) count = lines.size();
+        if (!users.empty()) {
+            if (!must && !paced(now, table)) return;
+            count = std::min(count, static_cast<std::size_t>(std::max(0.0, room_for(now, users, must))));
         }
-        for (const auto& [op, let_in] : table.level_want) {
-            const auto it = table.level_have.find(op);
-            if (it != table.level_have.end() && it->second == let_in) continue;
-            lines.push_back(act::Level{id, OpMask{1} << op.v, let_in, Again::AfterProof});
-        }
-        const auto cost = static_cast<double>(lines.size());
-        if (lines.empty() || (!users.empty() && !must && !paced(now, table))) return;
-        if (!users.empty() && !room_for(now, users, cost, must)) return;
-        out.insert(out.end(), lines.begin(), lines.end());
-        table.have = table.want;
-        table.level_have = table.level_want;
-        for (const ProxyId user : users) planned[user] += cost;
+        if (count == 0) return;
+        for (std::size_t k = 0; k < count; ++k) {
+            if (const auto* line = std::get_if<act::Line>(&lines[k])) {
+                if (line->weight > 0)
+                    table.have[line->server] = line->weight;
+                else
+                    table.have.erase(line->server);
+            } else {
+                const OpId op{std::countr_zero(std::get<act::Level>(lines[k]).ops)};
+                table.level_have[op] = table.level_want[op];
+            }
+            out.push_back(lines[k]);
+        }
+        if (users.empty()) return;
+        plan(users, static_cast<double>(count));
         table.unacked = {users.begin(), users.end()};
         table.pushed = now;
         table.mark = next_mark();
     }
 
+    // A proxy that has no table of ours may hold lines that drain; one that changes over can wait.
     void emit_binding(Micros now, ProxyId id, Proxy& proxy) {
         if (!proxy.joined) return;
         const auto wanted = binding(proxy);
@@ -844,13 +886,13 @@
         double cost = 0;
         for (const auto& [ops, table] : wanted)
             cost += 1 + static_cast<double>(tables[table].have.size() + tables[table].level_have.size());
-        if (!room_for(now, {id}, cost, true)) return;
+        if (room_for(now, {id}, proxy.bound.empty()) < cost) return;
         for (const auto& [ops, table] : wanted) {
             const auto it = proxy.bound.find(ops);
             if (it == proxy.bound.end() || it->second != table) out.push_back(act::Bind{table, ops, id});
         }
         proxy.bound = wanted;
-        planned[id] += cost;
+        plan({id}, cost);
     }
 
     // ---- slices: legal and plain ----------------------------------------------------------------------
