Servers that merely vanish from the list stay while they answer, where only drains bind

Told from servers that died by what proxies met there last: answers go on. Also covers interrupted and shrinking lists; it could harm where a server dies that few tries reach: it stays until its errors are reported.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -121,6 +121,7 @@
     ServerState state = ServerState::Gone;
     double weight = 1;
     Micros started{}, known{};
+    bool missing = false;
 };
 
 enum class Phase { In, Out, Trial };
@@ -227,7 +228,7 @@
     int zones;
     OpMask all_ops = 0, own_ops = 0, open_ops = 0;
     Admit admit;
-    bool equal_weights, ask, slices, exclusive;
+    bool equal_weights, ask, slices, exclusive, gone_may_stay;
     std::vector<OpId> cheap_first;
     std::vector<double> work;
     double cold_from, fall_room;
@@ -263,6 +264,7 @@
           ask(s.ask_for_list),
           slices(s.slices > 0),
           exclusive(s.exclusive),
+          gone_may_stay(s.gone_may_stay && s.slices == 0),
           cold_from(s.cold_from),
           fall_room(s.fall_multiple / (s.pick == Pick::Two ? 2 : 1)),
           proxies(s.proxies),
@@ -309,14 +311,39 @@
             return;
         }
         if (e.form != ListForm::Delta)
-            for (auto& [id, server] : servers) server.state = ServerState::Gone;
+            for (auto& [id, server] : servers) vanish(server);
         for (const ServerRow& row : e.rows) {
             Server& server = servers[row.server];
             if (row.state == ServerState::Ready && server.started != row.started)
                 for (int z = 0; z < zones; ++z) standings.erase({ZoneId{z}, row.server});
             const double weight = equal_weights || !(row.weight > 0) ? 1.0 : row.weight;
             const Micros known = server.started == row.started ? server.known : now;
-            server = {row.zone, row.state, weight, row.started, known};
+            if (row.state == ServerState::Gone)
+                vanish(server);
+            else
+                server = {row.zone, row.state, weight, row.started, known};
+        }
+    }
+    void vanish(Server& server) const {
+        server.missing = gone_may_stay && server.state == ServerState::Ready;
+        if (!server.missing) server.state = ServerState::Gone;
+    }
+    // Where only a stated drain binds, a server that merely vanished stays while it goes on answering: a list
+    // that turns back named four fifths of a live fleet gone (cnx-labels-later big-1). One that died shows
+    // errors, or nothing at all, in what the proxies met last.
+    void follow_missing(Micros now) {
+        for (auto& [id, server] : servers) {
+            if (!server.missing) continue;
+            Met last, all;
+            for (int z = 0; z < zones; ++z) {
+                const auto it = standings.find({ZoneId{z}, id});
+                if (it == standings.end()) continue;
+                last += it->second.met.sum(now, kMetBucket, kMetWindow);
+                all += it->second.met.sum(now, kMetBucket);
+            }
+            if (all.tries > all.errored && last.bad() < kBadPart) continue;
+            server.missing = false;
+            server.state = ServerState::Gone;
         }
     }
     void on(Micros, const ev::Timer&) { beating = false; }
@@ -937,6 +964,7 @@
         } else {
             if (rounds == 0) share = shares(now);
             if (now >= next_round) round(now);
+            follow_missing(now);
             judge(now);
             weigh_pressure(now);
             want(now);
--- a/src/types.h
+++ b/src/types.h
@@ -82,6 +82,7 @@
     double cold_from = 1;
     Micros cold_time{};
     Micros grace{};
+    bool gone_may_stay = false;
     double fall_multiple = 0;
     Micros fall_time{};
 };
