Levels fall only where answers are late

It could harm where servers turn away at once while the few answers are quick: such an overload is spread, not shed.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -42,6 +42,7 @@
 constexpr double kShedGain = 0.4;
 constexpr double kLateIsBad = 0.3;
 constexpr double kLateMean = 0.7;
+constexpr double kQuickMean = 0.5;
 constexpr double kManyCold = 0.3;
 constexpr double kShedMost = 0.8;
 constexpr double kLeastIn = 0.1;
@@ -581,9 +582,14 @@
             for (auto it = standings.lower_bound({{z}, ServerId{0}});
                  it != standings.end() && it->first.first.v == z; ++it) {
                 const Met met = it->second.met.sum(now, kMetBucket, 3);
-                if (it->second.phase == Phase::In && met.tries >= kFewTries)
-                    bads.push_back(std::max(
-                        met.bad(), met.mean() > kLateMean * seconds(quick_objective) ? kLateIsBad : 0.0));
+                if (it->second.phase != Phase::In || met.tries < kFewTries) continue;
+                // Errors beside quick answers are no overload: lost answers, refused connections or a lossy
+                // way, which letting in less does not mend (cnx-labels-later big-2, hkt-signs-later big-2).
+                const bool quick = met.mean() > 0 && met.mean() < kQuickMean * seconds(quick_objective);
+                bads.push_back(quick ? 0
+                                     : std::max(met.bad(), met.mean() > kLateMean * seconds(quick_objective)
+                                                               ? kLateIsBad
+                                                               : 0.0));
             }
             double& s = shed[static_cast<std::size_t>(z)];
             const double bad = median(bads);
