Own-zone levels go by what the zone asks for, not by what is left of it

It also covers servers that leave for good; it could harm where a hall loses more than half of its warm servers, whose own-zone operations are then rate-limited at once.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -56,7 +56,7 @@
 constexpr double kAllBut = 0.9, kMostOut = 0.34, kMostDead = 0.5, kDeadPart = 0.98;
 constexpr double kSlowBy = 4, kMostSlow = 0.1;
 constexpr Micros kOutFirst = 6s, kOutMost = 24s, kTrialMost = 5s;
-// Two slow spells at once made the channel 15 times slower (bkk-render-later, a fresh full-size day): what has
+// Two slow spells at once make the channel some 15 times slower (bkk-render-later, a fresh big day): what has
 // left it is reckoned at this part of its pace, or as marks prove.
 constexpr double kSurePace = 0.05, kCanWaitPart = 0.75, kMessagesPart = 0.5, kMustGoPart = 0.95;
 
@@ -583,19 +583,19 @@
                 shed[z] = std::min(kShedMost, shed[z] + (1 - shed[z]) * p * kShedGain);
             else if (p < kCalmPart) shed[z] = std::max(0.0, shed[z] * (1 - kShedStep) - kShedStep / 2);
         if (now >= next_shed) next_shed = now + kShedEvery;
-        // Only zones with proxies of this governor's own count: the others' jams are not heard here.
-        double mean = 0, heads = 0;
+        double mean = 0, heads = 0;  // over this governor's own proxies: other jams are not heard here
         for (const auto& [id, proxy] : fleet)
             if (proxy.joined && knows(proxy.zone)) mean += shed[at(proxy.zone)], heads += 1;
         set_levels(now, full_table(), -1, open_ops, heads > 0 ? mean / heads : 0, 1);
         for (ZoneId z{0}; z.v < zones; ++z.v) {
             set_levels(now, zone_table(z), z.v, open_ops, shed[at(z)], 1);
             if (!own_ops) continue;
-            double carried = 0, listed = 0;
-            for (const auto& [id, server] : servers)
-                if (server.zone == z && server.state == ServerState::Ready)
-                    listed += server.weight, carried += server.weight * eased(now, server, 1);
-            const double warm = listed > 0 ? std::min(1.0, 2 * carried / listed) : 1;
+            double carried = 0, all = 0;
+            for (const auto& [id, s] : servers)
+                if (s.state == ServerState::Ready)
+                    all += s.weight, carried += s.zone == z ? s.weight * eased(now, s, 1) : 0;
+            // The last cold server of a lost hall met the own-zone calls of five (cnx-labels, a fresh day).
+            const double warm = std::min(1.0, 2 * carried / std::max(1e-9, share[at(z)] * all));
             set_levels(now, own_table(z), z.v, own_ops, shed[at(z)], warm);
         }
     }
