--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -58,7 +58,7 @@
 constexpr Micros kOutFirst = 6s, kOutMost = 24s, kTrialMost = 5s;
 // Two slow spells at once make the channel some 15 times slower (bkk-render-later, a fresh big day): what has
 // left it is reckoned at this part of its pace, or as marks prove.
-constexpr double kSurePace = 0.05, kCanWaitPart = 0.75, kMessagesPart = 0.5, kMustGoPart = 0.95;
+constexpr double kSurePace = 0.05, kCanWaitPart = 0.75, kMessagesPart = 0.4, kMustGoPart = 0.95;
 
 // No shelf is made narrower than the first, for warm connections, or the second, where they are refused.
 constexpr double kNarrow = 12, kNarrowest = 3;
@@ -467,7 +467,7 @@
         double jam = everywhere.tries >= kFewTries ? 1 / std::max(0.05, 1 - everywhere.bad()) : 1;
         if (std::any_of(shed.begin(), shed.end(), [](double s) { return s > 0; }))
             jam = std::max(jam, kDeepJam);
-        if (late && cold_part(now) < kManyCold) jam = std::max(jam, kDeepJam);
+        if (late) jam = std::max(jam, cold_part(now) < kManyCold ? kDeepJam : kDeepJam / 2);
         jam = std::exp2(std::ceil(std::log2(jam) - 0.4));
         if (jam >= rush || now >= rush_until) rush = jam, rush_until = now + cold_time;
     }
@@ -734,7 +734,7 @@
                 log("zone " + std::to_string(z.v) + " dealt into " + std::to_string(d.shelves) + " shelves");
             for (auto& [id, proxy] : fleet)
                 if (proxy.zone == z && d.shelves != was) proxy.shelf = -1;
-            if (was > 1 || d.shelves > 1) fill_shelves(now, z, d);
+            fill_shelves(now, z, d);
             if (d.shelves > 1) seat(z, d);
         }
     }
