--- a/src/day/auditor.cpp
+++ b/src/day/auditor.cpp
@@ -113,6 +113,11 @@
 
 void Auditor::list_told(Micros now, const std::string& name, const governor::ServerList& list) {
     GovernorSight& sight = governors_[name];
+    // What the settings let a governor refuse has not told it anything: an empty list after a full one, and one
+    // older than what the same registry gave before.
+    if (config_.empty_list == config::EmptyList::Refuse && list.servers.empty() && sight.servers_told > 0) return;
+    if (list.about.registry == sight.registry && list.about.index < sight.index) return;
+    sight.registry = list.about.registry, sight.index = list.about.index, sight.servers_told = list.servers.size();
     std::set<std::string> ready;
     for (const auto& listed : list.servers) {
         const std::string key = key_of(listed);
--- a/src/day/auditor.h
+++ b/src/day/auditor.h
@@ -75,7 +75,9 @@
     struct GovernorSight {
         std::map<std::string, ListedSight> servers;  // by id/incarnation
         std::map<std::string, Micros> gone;          // told gone or draining
-        bool any_warm_since_known = false;
+        std::string registry;
+        std::uint64_t index = 0;
+        std::size_t servers_told = 0;
     };
     struct Release {
         Micros at{};
--- a/src/net/ledger.cpp
+++ b/src/net/ledger.cpp
@@ -4,12 +4,12 @@
 
 namespace badgergrade::net {
 
-Ledger::PairId Ledger::dial(std::uint16_t local_port, std::string from_host) {
+Ledger::PairId Ledger::dial(std::uint16_t local_port, std::uint16_t to_port, std::string from_host) {
     const PairId id = ++ids_;
     Pair& pair = pairs_[id];
-    pair.port = local_port;
+    pair.ports = {local_port, to_port};
     pair.ends[0].host = std::move(from_host);
-    by_port_[local_port] = id;
+    by_ports_[pair.ports] = id;
     review(id, pair);
     return id;
 }
@@ -28,9 +28,9 @@
     review(id, it->second);
 }
 
-Ledger::PairId Ledger::accept(std::uint16_t remote_port, std::string at_host) {
-    const auto it = by_port_.find(remote_port);
-    if (it == by_port_.end()) return 0;
+Ledger::PairId Ledger::accept(std::uint16_t remote_port, std::uint16_t at_port, std::string at_host) {
+    const auto it = by_ports_.find({remote_port, at_port});
+    if (it == by_ports_.end()) return 0;
     Pair& pair = pairs_[it->second];
     pair.accepted = true;
     pair.ends[1].host = std::move(at_host);
@@ -101,8 +101,8 @@
     }
     const bool over = pair.failed || (pair.ends[0].closed && (pair.ends[1].closed || !pair.accepted));
     if (over && !open) {
-        if (const auto it = by_port_.find(pair.port); it != by_port_.end() && it->second == id)
-            by_port_.erase(it);
+        if (const auto it = by_ports_.find(pair.ports); it != by_ports_.end() && it->second == id)
+            by_ports_.erase(it);
         pairs_.erase(id);
     }
 }
--- a/src/net/ledger.h
+++ b/src/net/ledger.h
@@ -22,12 +22,12 @@
 public:
     using PairId = std::uint64_t;
 
-    // A connection attempt from this local port.
-    PairId dial(std::uint16_t local_port, std::string from_host);
+    // A connection attempt from this local port to that one.
+    PairId dial(std::uint16_t local_port, std::uint16_t to_port, std::string from_host);
     void connected(PairId id);
     void failed(PairId id);
     // The connection that was accepted from this remote port; 0 where the dialler is not of this process.
-    PairId accept(std::uint16_t remote_port, std::string at_host);
+    PairId accept(std::uint16_t remote_port, std::uint16_t at_port, std::string at_host);
 
     void wrote(PairId id, Side from, std::size_t bytes);
     void read(PairId id, Side at, std::size_t bytes);
@@ -60,8 +60,9 @@
         bool closed = false, saw_end = false, paused = false;
         std::string host;
     };
+    using Ports = std::pair<std::uint16_t, std::uint16_t>;  // dialler's, listener's
     struct Pair {
-        std::uint16_t port = 0;
+        Ports ports;
         bool connected = false, accepted = false, failed = false, counted = false;
         End ends[2];
     };
@@ -70,7 +71,7 @@
     End& end(Pair& pair, Side side) { return pair.ends[static_cast<int>(side)]; }
 
     std::map<PairId, Pair> pairs_;
-    std::map<std::uint16_t, PairId> by_port_;
+    std::map<Ports, PairId> by_ports_;
     std::map<std::uint16_t, std::string> listeners_;
     std::map<std::tuple<PairId, Side, std::uint64_t>, std::function<void()>> held_;
     std::uint64_t ids_ = 0, events_ = 0, unsettled_ = 0;
--- a/src/net/network.cpp
+++ b/src/net/network.cpp
@@ -328,7 +328,7 @@
         const auto far = socket.remote_endpoint(wrong);
         if (wrong) return;
         Ledger& ledger = loop.ledger();
-        const Ledger::PairId pair = loop.keeps_ledger ? ledger.accept(far.port(), host) : 0;
+        const Ledger::PairId pair = loop.keeps_ledger ? ledger.accept(far.port(), port, host) : 0;
         auto stream = std::make_shared<Stream>(loop, actor, host, std::move(socket), pair, Side::Accepter);
         if (loop.is_virtual() && pair) {
             stream->start();
@@ -347,6 +347,7 @@
     std::string host;
     std::function<void(StreamPtr)> on_stream;
     tcp::acceptor acceptor;
+    std::uint16_t port = 0;
     base::Timer again;
 };
 
@@ -358,7 +359,8 @@
     state_->acceptor.set_option(tcp::acceptor::reuse_address(true));
     state_->acceptor.bind(endpoint);
     state_->acceptor.listen(4096);
-    loop.ledger().listens(address().port, state_->host);
+    state_->port = address().port;
+    loop.ledger().listens(state_->port, state_->host);
     state_->accept();
 }
 
@@ -398,20 +400,14 @@
         asio::error_code wrong;
         const auto endpoint = endpoint_of(to);
         socket.open(endpoint.protocol(), wrong);
-        if (!wrong) socket.bind({endpoint.protocol() == tcp::v4() ? asio::ip::address(asio::ip::address_v4::loopback())
-                                                                  : asio::ip::address(asio::ip::address_v6::loopback()),
-                                 0},
-                                wrong);
-        // A destination outside loopback needs the default source address.
-        if (!wrong && !endpoint.address().is_loopback()) {
-            socket.close(wrong);
-            socket.open(endpoint.protocol(), wrong);
-        }
         if (wrong) return end_later(wrong.message());
-        if (loop.keeps_ledger) pair = loop.ledger().dial(socket.local_endpoint().port(), host);
+        // The attempt itself gives the socket its port; what comes of it is handled in a later turn of the loop.
         socket.async_connect(endpoint, [self = shared_from_this()](const asio::error_code& failed) {
             self->came(failed);
         });
+        if (!loop.keeps_ledger) return;
+        const auto here = socket.local_endpoint(wrong);
+        if (!wrong) pair = loop.ledger().dial(here.port(), to.port, host);
     }
     void came(const asio::error_code& failed) {
         if (over) return;
