--- a/src/governor/service.cpp
+++ b/src/governor/service.cpp
@@ -59,6 +59,12 @@
     server_.on_trouble = [this](const std::string& peer, const std::string& why) {
         log_.warn("connection.ended", {{"peer", peer}, {"why", why}});
     };
+    server_.on_exhausted([this](const std::string& why) {
+        // Told once a second, not at every attempt.
+        if (clock_.now() < exhausted_told_ + 1s) return;
+        exhausted_told_ = clock_.now();
+        log_.error("descriptors.none", {{"why", why}, {"streams", forwarders_.size()}});
+    });
     registry_.on_list = [this](const ServerList& list) { on_list(list); };
     registry_.on_trouble = [this](const std::string& why) {
         log_.warn("list.trouble", {{"why", why}});
--- a/src/governor/service.h
+++ b/src/governor/service.h
@@ -114,6 +114,7 @@
     std::set<std::string> told_unknown_;
     base::Timer decide_, channel_timer_, tick_, period_;
     Figures figures_;
+    Micros exhausted_told_{};
     bool stopping_ = false;
 };
 
--- a/src/net/grpc.cpp
+++ b/src/net/grpc.cpp
@@ -107,7 +107,14 @@
         const auto it = calls_.find(id);
         if (it == calls_.end()) return;
         const GrpcCallPtr call = it->second;
-        if (call->on_half_closed) call->on_half_closed();
+        if (role_ == Http2Session::Role::Client) {
+            // The server's end is the call's end, whatever of ours is still open.
+            calls_.erase(it);
+            session_.reset(id, NGHTTP2_CANCEL);
+            call->over(call->status_);
+        } else if (call->on_half_closed) {
+            call->on_half_closed();
+        }
     };
     session_.on_closed = [this](std::int32_t id, std::uint32_t error) {
         const auto it = calls_.find(id);
@@ -175,7 +182,7 @@
     if (over_) return;
     flush();
     if (!good) return fail("no good HTTP/2: " + session_.error());
-    if (!over_ && session_.over()) fail({});
+    if (!over_ && session_.over()) fail(session_.error().empty() ? "" : "no good HTTP/2: " + session_.error());
 }
 
 void GrpcConnection::flush() {
--- a/src/net/grpc.h
+++ b/src/net/grpc.h
@@ -134,6 +134,8 @@
     // For the log: a connection that ended badly or was refused.
     std::function<void(const std::string& peer, const std::string& why)> on_trouble;
 
+    // No connection can be taken for want of descriptors.
+    void on_exhausted(std::function<void(std::string)> told) { listener_->on_trouble(std::move(told)); }
     Address address() const { return listener_->address(); }
     void stop_listening() { listener_.reset(); }
     // All connections in order (true) or at once.
--- a/src/net/http2.cpp
+++ b/src/net/http2.cpp
@@ -117,6 +117,12 @@
         }
         return static_cast<ssize_t>(done);
     }
+    // A GOAWAY with an error of ours says what the other side did wrong.
+    static int frame_sent(nghttp2_session*, const nghttp2_frame* frame, void* user) {
+        if (frame->hd.type == NGHTTP2_GOAWAY && frame->goaway.error_code != NGHTTP2_NO_ERROR && of(user).error_.empty())
+            of(user).error_ = nghttp2_http2_strerror(frame->goaway.error_code);
+        return 0;
+    }
     static int invalid(nghttp2_session*, const nghttp2_frame*, int code, void* user) {
         of(user).error_ = nghttp2_strerror(code);
         return 0;
@@ -137,6 +143,7 @@
     nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, Callbacks::frame);
     nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, Callbacks::data);
     nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, Callbacks::stream_close);
+    nghttp2_session_callbacks_set_on_frame_send_callback(callbacks, Callbacks::frame_sent);
     nghttp2_session_callbacks_set_on_invalid_frame_recv_callback(callbacks, Callbacks::invalid);
     nghttp2_option* options = nullptr;
     nghttp2_option_new(&options);
--- a/src/net/network.cpp
+++ b/src/net/network.cpp
@@ -312,13 +312,14 @@
     void accept() {
         acceptor.async_accept([self = shared_from_this()](const asio::error_code& wrong, tcp::socket socket) {
             if (!self->acceptor.is_open()) return;
-            if (wrong) return self->accept_later();
+            if (wrong) return self->accept_later(wrong.message());
             self->take(std::move(socket));
             if (self->acceptor.is_open()) self->accept();
         });
     }
     // Without descriptors left an accept fails at once, again and again: wait a little, lose nobody.
-    void accept_later() {
+    void accept_later(const std::string& why) {
+        if (on_trouble) on_trouble(why);
         again.after(50ms, [this] {
             if (acceptor.is_open()) accept();
         });
@@ -346,6 +347,7 @@
     base::ActorId actor;
     std::string host;
     std::function<void(StreamPtr)> on_stream;
+    std::function<void(std::string)> on_trouble;
     tcp::acceptor acceptor;
     std::uint16_t port = 0;
     base::Timer again;
@@ -369,10 +371,13 @@
 void Listener::close() {
     asio::error_code ignored;
     state_->on_stream = {};
+    state_->on_trouble = {};
     state_->again.stop();
     state_->acceptor.close(ignored);
 }
 
+void Listener::on_trouble(std::function<void(std::string)> told) { state_->on_trouble = std::move(told); }
+
 Address Listener::address() const {
     const auto here = state_->acceptor.local_endpoint();
     return {here.address().to_string(), here.port()};
--- a/src/net/network.h
+++ b/src/net/network.h
@@ -150,6 +150,8 @@
     Listener(Loop& loop, base::ActorId actor, std::string host, const Address& at,
              std::function<void(StreamPtr)> on_stream);
     ~Listener();
+    // Accepting fails for want of descriptors or memory; it is tried again by itself. May be unset.
+    void on_trouble(std::function<void(std::string)> told);
     Address address() const;
     // While closed to newcomers, connections are refused as if nothing listened.
     void close();
