--- a/src/cli/standin.cpp
+++ b/src/cli/standin.cpp
@@ -114,7 +114,9 @@
     settings.wait = 50ms;
     Tally tally;
     standin::Client client(loop, base::ActorId{1}, "client", settings, address(forwarder), std::move(schedule), &tally);
-    loop.run_until(begin + Micros(std::llround(seconds * 1e6)) + 6s);
+    const Micros end = begin + Micros(std::llround(seconds * 1e6));
+    loop.run_until(end);
+    while (client.open() > 0) loop.run_until(loop.clock().now() + 50ms);
     const int good = tally.results[0];
     std::printf("%d invocations: %d succeeded (mean %.1f ms), %d rate-limited, %d errored, %d timed out\n", tally.came, good,
                 good > 0 ? static_cast<double>(tally.time.count()) / 1000 / good : 0.0, tally.results[1], tally.results[2], tally.results[3]);
--- a/src/day/script.cpp
+++ b/src/day/script.cpp
@@ -244,7 +244,7 @@
     }
     for (const auto& op : day.operations)
         if (std::none_of(ordered.begin(), ordered.end(), [&](const auto& o) { return o.name == op.name; }))
-            wrong(0, "operation " + op.name + " is not in the settings");
+            wrong(op.line, "operation " + op.name + " is not in the settings");
     day.operations = std::move(ordered);
     for (const Trouble& trouble : day.troubles) {
         if (trouble.at > day.length) wrong(trouble.line, trouble.name + " begins after the day's end");
@@ -280,6 +280,7 @@
     day.settings = settings;
     day.client_wait = 100ms, day.key_kept = 5s, day.same_way = 200us, day.cross_way = 600us;
     day.list_gone_us = {1e6, 3e6}, day.list_new_us = {3e5, 2e6}, day.orders_way_us = {2e4, 2e4}, day.redial_us = {6e5, 2e6};
+    int number = 0;
     using Reader = std::function<void(Words&)>;
     const std::map<std::string, Reader> readers{
         {"settings", [&](Words& in) { in.word("a file"); }},
@@ -290,7 +291,7 @@
         {"governors", [&](Words& in) { day.governors = in.whole("governors", 1, 16); }},
         {"rate", [&](Words& in) { day.rate = in.number("rate"); }},
         {"kind", [&](Words& in) { day.kinds.push_back(read_kind(in)); }},
-        {"operation", [&](Words& in) { day.operations.push_back(read_operation(in)); }},
+        {"operation", [&](Words& in) { day.operations.push_back(read_operation(in)), day.operations.back().line = number; }},
         {"startup", [&](Words& in) { day.startup = in.whole("startup", 1, 1000); }},
         {"redial", [&](Words& in) { day.redial_us = in.times("redial"); }},
         {"set",
@@ -342,7 +343,6 @@
          }},
     };
     std::istringstream lines(text);
-    int number = 0;
     for (std::string line; std::getline(lines, line);) {
         ++number;
         Words in(line);
--- a/src/day/script.h
+++ b/src/day/script.h
@@ -43,6 +43,7 @@
     std::string name;
     double share = 1, cv = 0.5;
     Micros work{};
+    int line = 0;
 };
 
 enum class Kind {
--- a/src/xds/ads_server.cpp
+++ b/src/xds/ads_server.cpp
@@ -66,9 +66,12 @@
     const Flight flight = *at;
     if (request.has_error_detail()) {
         Rejection rejection{type, flight.version, request.error_detail().message(), {}};
-        for (const auto& [name, version] : flight.items)
+        for (const auto& [name, version] : flight.items) {
             if (!name.empty()) rejection.names.push_back(name);
+            if (const auto it = here.items.find(name); it != here.items.end()) it->second.refused = true;
+        }
         here.rejected = flight.version;
+        here.refused = true;
         out.rejected = std::move(rejection);
     } else {
         here.acknowledged = flight.version;
@@ -84,7 +87,7 @@
 void AdsServer::acknowledged(Type type, Lane& here, const Flight& flight) {
     for (const auto& [name, version] : flight.items)
         if (const auto it = here.items.find(name); it != here.items.end())
-            it->second.acked = std::max(it->second.acked, version);
+            it->second.acked = std::max(it->second.acked, version), it->second.refused = false;
     if (type != Type::Routes) return;
     for (const auto& [name, item] : here.items)
         if (item.wanted && item.acked < item.wanted->version) return;
@@ -115,6 +118,14 @@
         // A resource made before this order (a cluster bound again) may be acknowledged already.
         pending.items.emplace_back(change.type, change.name, change.resource->version);
     }
+    // What was rejected is tried again with the next order, not at once and again: a removal must not stay out
+    // for ever, nor what hangs on a rejected cluster (its assignment, and the routes behind that).
+    for (const Type type : kTypes) {
+        Lane& here = lane(type);
+        if (whole_state(type)) here.dirty = here.dirty || here.refused;
+        else here.again = here.again || here.refused;
+        here.refused = false;
+    }
     if (pending.items.empty()) {
         // Nothing to show but the order itself (a mark for everyone): the whole set of clusters goes out again,
         // and its acknowledgement is the answer.
@@ -132,13 +143,17 @@
 
 std::vector<AdsServer::Response> AdsServer::take_responses() {
     std::vector<Response> out;
-    for (const Type type : kTypes)
-        if (auto response = next(type, lane(type))) out.push_back(std::move(*response));
+    for (const Type type : kTypes) {
+        if (auto response = next(type, lane(type), false)) out.push_back(std::move(*response));
+        // What was rejected goes apart, so that it can't take what is new down with it.
+        if (may_send(type) && std::exchange(lane(type).again, false))
+            if (auto response = next(type, lane(type), true)) out.push_back(std::move(*response));
+    }
     return out;
 }
 
-std::optional<AdsServer::Response> AdsServer::next(Type type, Lane& here) {
-    if (!here.asked || (type == Type::Routes && !assignments_sent())) return std::nullopt;
+std::optional<AdsServer::Response> AdsServer::next(Type type, Lane& here, bool refused) {
+    if (!may_send(type)) return std::nullopt;
     Response out;
     Flight flight;
     std::uint64_t newest = 0;
@@ -146,11 +161,11 @@
     if (whole && !std::exchange(here.dirty, false)) return std::nullopt;
     for (auto& [name, item] : here.items) {
         if (!item.wanted || (!here.wildcard && !here.names.contains(name))) continue;
-        if (!whole && item.sent >= item.wanted->version) continue;
+        if (!whole && (refused ? !item.refused : item.sent >= item.wanted->version)) continue;
         auto* any = out.add_resources();
         any->set_type_url(std::string(url(type)));
         any->set_value(item.wanted->bytes);
-        item.sent = item.wanted->version;
+        item.sent = item.wanted->version, item.refused = false;
         newest = std::max(newest, item.sent);
         flight.items.emplace_back(name, item.sent);
     }
@@ -176,7 +191,9 @@
 }
 
 // Make before break: a route is sent only behind the assignments of what it leads to.
-bool AdsServer::assignments_sent() const {
+bool AdsServer::may_send(Type type) const {
+    if (!lanes_[index(type)].asked) return false;
+    if (type != Type::Routes) return true;
     for (const auto& [name, item] : lanes_[index(Type::Endpoints)].items)
         if (name != kStartup && item.wanted && item.sent < item.wanted->version) return false;
     return true;
--- a/src/xds/ads_server.h
+++ b/src/xds/ads_server.h
@@ -66,6 +66,7 @@
         ResourcePtr wanted;
         std::uint64_t sent = 0, acked = 0;
         bool retiring = false;  // removed, but routes may still name it
+        bool refused = false;   // what was sent last was rejected
     };
     struct Flight {
         std::string nonce, version;
@@ -73,7 +74,7 @@
         bool answered = false;
     };
     struct Lane {
-        bool asked = false, wildcard = false, dirty = false;
+        bool asked = false, wildcard = false, dirty = false, refused = false, again = false;
         std::set<std::string> names;
         std::map<std::string, Item> items;
         std::deque<Flight> flights;
@@ -88,8 +89,8 @@
     void subscribe(Type type, Lane& lane, const Request& request);
     void answer(Type type, Lane& lane, const Request& request, Outcome& out);
     void acknowledged(Type type, Lane& lane, const Flight& flight);
-    std::optional<Response> next(Type type, Lane& lane);
-    bool assignments_sent() const;
+    std::optional<Response> next(Type type, Lane& lane, bool refused);
+    bool may_send(Type type) const;
     std::vector<Applied> proven();
 
     std::string origin_;
--- /dev/null
+++ b/tests/program/day_test.cpp
@@ -0,0 +1,206 @@
+// Days: determinism, the auditor's proof rule by rule, the script's mistakes.
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <sstream>
+
+#include "day/runner.h"
+#include "day/script.h"
+
+namespace badgergrade::test {
+namespace {
+
+using namespace std::chrono_literals;
+
+std::string read(const std::string& path) {
+    std::ifstream in(path);
+    std::ostringstream out;
+    out << in.rdbuf();
+    return out.str();
+}
+
+config::IniFile example_settings() {
+    std::vector<config::Mistake> mistakes;
+    return config::IniFile::parse("governor.ini", read(BADGERGRADE_SOURCE "/examples/governor.ini"), mistakes);
+}
+
+const char* const kFleet = R"(settings governor.ini
+seed 3
+length 20 s
+workers 12
+forwarders 8
+rate 60
+operation preview share 54% work 100 ms
+operation print-file share 33% work 150 ms
+operation place-job share 13% work 120 ms
+way orders 50..100 ms
+list gone 0.5..1 s new 0.3..0.5 s
+)";
+
+day::DayScript script(const std::string& troubles) {
+    std::vector<config::Mistake> mistakes;
+    auto out = day::parse_script("test.day", kFleet + troubles, example_settings(), mistakes);
+    for (const auto& mistake : mistakes) ADD_FAILURE() << config::to_text(mistake);
+    return out;
+}
+
+std::set<std::string> rules_broken(const day::DayRun& run) {
+    std::set<std::string> out;
+    for (const auto& one : run.breaks) out.insert(one.rule);
+    return out;
+}
+
+TEST(Day, IsTheSameToTheByteForOneSeedAndAnotherForAnother) {
+    auto day = script("at 5 s crash workers 25% for 5 s\nat 8 s streams-break forwarders 50%\nat 10 s governor-crash 0 for 2 s\n");
+    const std::string first = day::run_day(day, {}).result.dump();
+    for (int n = 0; n < 3; ++n) EXPECT_EQ(day::run_day(day, {}).result.dump(), first);
+    day.seed = 4;
+    EXPECT_NE(day::run_day(day, {}).result.dump(), first);
+}
+
+TEST(Day, EveryInvocationHasOneResult) {
+    const auto run = day::run_day(script("at 5 s crash workers 50% for 5 s\nat 7 s hang workers 2 for 5 s\n"), {});
+    const auto& whole = run.result["figures"]["whole_day"];
+    const auto sum = whole["succeeded"].get<int>() + whole["rate_limited"].get<int>() + whole["errored"].get<int>() + whole["timed_out"].get<int>();
+    EXPECT_EQ(sum, whole["invocations"].get<int>());
+    EXPECT_GT(sum, 1000);
+    EXPECT_TRUE(run.breaks.empty());
+    EXPECT_EQ(run.result["figures"]["effects"]["twice"].get<int>(), 0);
+}
+
+// ---- the auditor is shown what breaks each rule, and catches it
+
+struct Broken {
+    const char* rule;
+    const char* troubles;
+    std::function<void(day::World&)> how;
+};
+
+// A governor that keeps servers in its tables which have gone.
+void deaf_to_removals(day::World& world) {
+    world.tamper = [](int, governor::Service&, Micros, std::vector<Action>& actions) {
+        std::erase_if(actions, [](const Action& a) {
+            const auto* line = std::get_if<act::Line>(&a);
+            return line && line->weight <= 0;
+        });
+    };
+}
+
+// A governor that clears what it binds and never fills it.
+void leaves_bare(day::World& world) {
+    world.tamper = [](int, governor::Service&, Micros, std::vector<Action>& actions) {
+        std::erase_if(actions, [](const Action& a) { return std::holds_alternative<act::Line>(a); });
+    };
+}
+
+// A governor that points every table at a server as soon as it starts, whole weight, and at little else.
+void rushes_cold(day::World& world) {
+    world.tamper = [](int, governor::Service& service, Micros, std::vector<Action>& actions) {
+        const auto cold = service.server_id("worker-000");
+        for (Action& a : actions)
+            if (auto* line = std::get_if<act::Line>(&a); line && line->weight > 0 && cold)
+                line->weight = line->server == *cold ? 1000 : 0.001;
+        if (!cold || actions.empty()) return;
+        for (int table = 0; table < 5; ++table) actions.insert(actions.begin(), act::Line{{table}, *cold, 1000});
+        actions.push_back(act::Mark{{7}, false});
+    };
+}
+
+// A governor that writes everything again and again, whatever its channel bears.
+void floods(day::World& world) {
+    world.tamper = [](int, governor::Service& service, Micros, std::vector<Action>& actions) {
+        const auto one = service.server_id("worker-001");
+        for (int n = 0; one && n < 600; ++n) actions.push_back(act::Line{{n % 5}, *one, 1.0 + n % 7});
+    };
+}
+
+void repeats_orders(day::World& world) {
+    world.on_forwarder = [](standin::Forwarder& forwarder) { forwarder.repeats_all = true; };
+}
+
+class Audit : public testing::TestWithParam<int> {};
+
+const Broken& broken(int k) {
+    static const Broken all[] = {
+        {"drain", "at 5 s crash workers 40% for 12 s\n", deaf_to_removals},
+        {"bare", "", leaves_bare},
+        {"cold", "at 4 s crash worker-000 for 3 s\n", rushes_cold},
+        {"queue", "", floods},
+        {"effect", "at 4 s hang workers 30% for 10 s\nat 4 s answers-lost workers 60% by 60% for 12 s\n", repeats_orders},
+    };
+    return all[k];
+}
+
+TEST_P(Audit, CatchesWhatBreaksTheRule) {
+    const Broken& what = broken(GetParam());
+    const auto day = script(what.troubles);
+    EXPECT_TRUE(day::run_day(day, {}).breaks.empty()) << "broken without being broken on purpose";
+    day::DayOptions options;
+    options.before = what.how;
+    const auto run = day::run_day(day, options);
+    EXPECT_TRUE(rules_broken(run).contains(what.rule)) << what.rule << " not caught";
+    ASSERT_FALSE(run.breaks.empty());
+    EXPECT_FALSE(run.breaks.front().parties.empty());
+    EXPECT_GT(run.breaks.front().when, 1000s);
+}
+INSTANTIATE_TEST_SUITE_P(Rules, Audit, testing::Range(0, 5));
+
+// ---- scripts
+
+struct ScriptMistake {
+    const char* line;
+    const char* says;
+};
+
+TEST(Script, TellsEachMistakeWithItsLine) {
+    const ScriptMistake mistakes[] = {
+        {"at 5 s crsh workers 25%", "did you mean crash?"},
+        {"at 5 s crash workers 25% for 12", "no unit"},
+        {"at 5 s crash workers 250% for 12 s", "100% at most"},
+        {"at 5 s hang workers 2", "wants 'for'"},
+        {"at 5 s hang workers 2 by 3 for 4 s", "says nothing for hang"},
+        {"at 5 s zone-cut atlantis for 4 s", "none of the zones"},
+        {"at 5 s governor-crash 7 for 4 s", "no governor '7'"},
+        {"at 90 s streams-break forwarders 10%", "after the day's end"},
+        {"wrokers 5", "did you mean workers?"},
+        {"operation unheard share 5% work 10 ms", "not in the settings"},
+        {"rate lots", "no number"},
+        {"list gone 3..1 s", "runs backwards"},
+        {"set forwarders pick quickest", "not one of"},
+    };
+    for (const auto& one : mistakes) {
+        std::vector<config::Mistake> told;
+        day::parse_script("test.day", std::string(kFleet) + one.line + "\n", example_settings(), told);
+        ASSERT_FALSE(told.empty()) << one.line;
+        const std::string text = config::to_text(told.front());
+        EXPECT_NE(text.find(one.says), std::string::npos) << one.line << " -> " << text;
+        const bool in_the_script = std::string(one.line).rfind("set ", 0) != 0;
+        EXPECT_NE(text.find(in_the_script ? "test.day:12:" : "governor.ini"), std::string::npos) << text;
+    }
+}
+
+// Retries count with the first try, and place-job is billed threefold: a day of known counts.
+TEST(Figures, BillAsTheUsersDo) {
+    const auto day = script("");
+    day::Figures figures(day, 1000s, {{"f", "bang-na"}});
+    const auto play = [&](std::uint64_t id, int operation, int tries, standin::Result result, Micros took) {
+        standin::Invocation one;
+        one.id = id, one.operation = operation, one.forwarder = "f", one.came = 1000s + 1s;
+        figures.invocation_came(one.came, one);
+        for (int n = 0; n < tries; ++n) figures.client_try(one.came, one);
+        figures.invocation_ended(one.came + took, one, result);
+    };
+    play(1, 0, 1, standin::Result::Succeeded, 100ms);   // 1 of 1
+    play(2, 0, 3, standin::Result::Succeeded, 900ms);   // late: 0 of 1
+    play(3, 1, 2, standin::Result::Errored, 100ms);     // 0 of 1
+    play(4, 2, 1, standin::Result::Succeeded, 1100ms);  // 3 of 3
+    play(5, 2, 2, standin::Result::RateLimited, 10ms);  // 0 of 3
+    const auto json = figures.json();
+    EXPECT_DOUBLE_EQ(json["whole_day"]["service"].get<double>(), std::round(4.0 / 9 * 1e6) / 1e6);
+    EXPECT_EQ(json["whole_day"]["invocations"].get<int>(), 5);
+    EXPECT_EQ(json["tries"]["by_clients"].get<int>(), 9);
+    EXPECT_DOUBLE_EQ(json["by_operation"]["place-job"]["service"].get<double>(), 0.5);
+}
+
+}  // namespace
+}  // namespace badgergrade::test
