--- a/cmake/program.cmake
+++ b/cmake/program.cmake
@@ -49,3 +49,6 @@
 file(GLOB cli CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/src/cli/*.cpp)
 add_executable(badgergrade ${cli})
 target_link_libraries(badgergrade PRIVATE badgergrade_day CLI11::CLI11)
+
+add_executable(badgergrade_governor_bench ${CMAKE_SOURCE_DIR}/bench/governor_bench.cpp)
+target_link_libraries(badgergrade_governor_bench PRIVATE badgergrade_governor)
--- a/src/governor/service.cpp
+++ b/src/governor/service.cpp
@@ -214,17 +214,18 @@
         for (const auto& name : no->names) names += (names.empty() ? "" : ",") + name;
         log_.error("version.rejected", {{"forwarder", forwarder.name}, {"version", no->version}, {"names", names}, {"why", no->why}});
     }
+    figures_.applied += static_cast<std::int64_t>(outcome.applied.size());
     for (const auto& applied : outcome.applied)
         if (applied.mark) tell(ev::Applied{forwarder.proxy, *applied.mark, clock_.now() - applied.ordered});
     write(forwarder);
 }
 
 void Service::write(Forwarder& forwarder) {
-    const auto responses = forwarder.stream->take_responses();
+    const auto responses = forwarder.stream->take_encoded(responses_);
     if (responses.empty()) return;
     const net::GrpcCallPtr call = forwarder.call;
     call->cork();
-    for (const auto& response : responses) call->send(response.SerializeAsString());
+    for (const auto& response : responses) call->send(*response.common, response.own);
     call->uncork();
 }
 
@@ -320,6 +321,22 @@
     return out;
 }
 
+void Service::list_for_trial(const ListedServer& listed) {
+    bool fresh = false;
+    const ServerId server = server_for(listed, fresh);
+    board_.place(server, {listed.address, listed.zone});
+    tell(ev::List{ListForm::Delta, {{server, zone_of(listed.zone), ServerState::Ready, 1, Micros{0}}}});
+}
+
+void Service::change_for_trial(double weight) {
+    std::vector<Action> actions;
+    const TableId full{config_.told.zones};
+    for (const auto& [server, name] : server_names_) actions.push_back(act::Line{full, server, weight});
+    for (const auto& [name, forwarder] : forwarders_) actions.push_back(act::Bind{full, 0, forwarder.proxy});
+    actions.push_back(act::Mark{{1}, false});
+    carry_out(std::move(actions));
+}
+
 // ---- the module
 
 void Service::tell(const Event& event) {
@@ -391,10 +408,12 @@
 
 void Service::run_channel() {
     const base::CpuMeter meter(figures_.handler_cpu_us);
-    while (auto message = channel_.take(clock_.now())) {
+    // One moment for all that is due: what is sent alike then has the same bytes.
+    const Micros now = clock_.now();
+    while (auto message = channel_.take(now)) {
         const auto it = forwarders_.find(proxy_names_[message->proxy]);
         if (it == forwarders_.end()) continue;
-        it->second.stream->give(clock_.now(), *message);
+        it->second.stream->give(now, *message);
         write(it->second);
     }
     arm_channel();
--- a/src/governor/service.h
+++ b/src/governor/service.h
@@ -23,7 +23,7 @@
 namespace badgergrade::governor {
 
 struct Figures {
-    std::int64_t decisions = 0, orders = 0, joins = 0, rejections = 0, lists = 0;
+    std::int64_t decisions = 0, orders = 0, applied = 0, joins = 0, rejections = 0, lists = 0;
     std::int64_t handler_cpu_us = 0;
     channel::ChannelFigures channel;
 };
@@ -49,6 +49,10 @@
     std::optional<ServerId> server_id(const std::string& id) const;
 
     Figures figures() const;
+    // For measurements alone: a listed server without a registry; the full table laid and everyone bound to it with
+    // this weight on each line.
+    void list_for_trial(const ListedServer& listed);
+    void change_for_trial(double weight);
 
 private:
     struct Forwarder {
@@ -101,6 +105,7 @@
     xds::Board board_;
     channel::Channel channel_;
     Reports reports_;
+    xds::ResponseCache responses_;
     net::GrpcServer server_;
     RegistryWatch registry_;
     std::map<std::string, Forwarder> forwarders_;
--- a/src/net/grpc.cpp
+++ b/src/net/grpc.cpp
@@ -6,11 +6,13 @@
 
 namespace badgergrade::net {
 
-std::string grpc_frame(std::string_view message) {
-    const auto size = static_cast<std::uint32_t>(message.size());
-    std::string out(5, '\0');
-    for (int k = 0; k < 4; ++k) out[1 + k] = static_cast<char>(size >> (24 - 8 * k) & 255);
-    out += message;
+std::string grpc_frame(std::string_view message, std::string_view rest) {
+    const auto size = static_cast<std::uint32_t>(message.size() + rest.size());
+    std::string out;
+    out.reserve(5 + size);
+    out += '\0';
+    for (int k = 0; k < 4; ++k) out += static_cast<char>(size >> (24 - 8 * k) & 255);
+    out.append(message).append(rest);
     return out;
 }
 
@@ -42,9 +44,9 @@
 std::string GrpcCall::peer() const { return connection_ ? connection_->peer() : std::string{}; }
 std::size_t GrpcCall::waiting() const { return connection_ ? connection_->waiting() : 0; }
 
-void GrpcCall::send(std::string_view message) {
+void GrpcCall::send(std::string_view message, std::string_view rest) {
     if (!connection_ || finished_) return;
-    connection_->session_.send(stream_, grpc_frame(message));
+    connection_->session_.send(stream_, grpc_frame(message, rest));
     connection_->flush();
 }
 
--- a/src/net/grpc.h
+++ b/src/net/grpc.h
@@ -17,7 +17,8 @@
 enum class GrpcStatus { Ok = 0, Cancelled = 1, InvalidArgument = 3, AlreadyExists = 6, PermissionDenied = 7,
                         ResourceExhausted = 8, Unimplemented = 12, Internal = 13, Unavailable = 14 };
 
-std::string grpc_frame(std::string_view message);
+// The message may come in two parts.
+std::string grpc_frame(std::string_view message, std::string_view rest = {});
 
 // Takes a byte stream apart into messages.
 class GrpcFramer {
@@ -60,7 +61,7 @@
     // Bytes that wait on this call's connection.
     std::size_t waiting() const;
     bool open() const { return connection_ != nullptr; }
-    void send(std::string_view message);
+    void send(std::string_view message, std::string_view rest = {});
     // Server: ends the call with a status. Client: ends its half.
     void finish(GrpcStatus status = GrpcStatus::Ok, std::string_view why = {});
     // Gives the whole connection up at once.
--- a/src/standin/forwarder.h
+++ b/src/standin/forwarder.h
@@ -104,6 +104,7 @@
     const std::map<net::Address, std::string>* server_names_;
     base::Chance chance_;
     std::uint64_t luck_;
+    bool fresh_ = true, isolated_ = false, stalled_ = false;  // before ads_, whose node tells of the first
     xds::AdsClient ads_;
     xds::ClientTable startup_;
     std::unique_ptr<net::HttpServer> server_;
@@ -112,7 +113,6 @@
     net::StreamPtr stream_;
     net::GrpcCallPtr call_, reports_;
     std::size_t governor_ = 0;
-    bool fresh_ = true, isolated_ = false, stalled_ = false;
     base::Timer redial_, report_, go_back_;
     Micros report_every_{}, reported_{};
     std::map<net::Address, xds::EndpointSums> met_;
--- a/src/xds/ads_server.cpp
+++ b/src/xds/ads_server.cpp
@@ -141,20 +141,66 @@
     if (unannounced_.size() > messages_most_) unannounced_.erase(unannounced_.begin());
 }
 
-std::vector<AdsServer::Response> AdsServer::take_responses() {
-    std::vector<Response> out;
+std::shared_ptr<const std::string>& ResponseCache::at(const std::string& key) {
+    // What many streams share is sent within one burst; older entries are of no more use.
+    if (made_.size() >= 256) made_.clear();
+    return made_[key];
+}
+
+std::vector<AdsServer::Draft> AdsServer::drafts() {
+    std::vector<Draft> out;
     for (const Type type : kTypes) {
-        if (auto response = next(type, lane(type), false)) out.push_back(std::move(*response));
+        if (auto draft = next(type, lane(type), false)) out.push_back(std::move(*draft));
         // What was rejected goes apart, so that it can't take what is new down with it.
         if (may_send(type) && std::exchange(lane(type).again, false))
-            if (auto response = next(type, lane(type), true)) out.push_back(std::move(*response));
+            if (auto draft = next(type, lane(type), true)) out.push_back(std::move(*draft));
     }
     return out;
 }
 
-std::optional<AdsServer::Response> AdsServer::next(Type type, Lane& here, bool refused) {
-    if (!may_send(type)) return std::nullopt;
+AdsServer::Response AdsServer::to_response(const Draft& draft) {
     Response out;
+    out.set_type_url(std::string(url(draft.type)));
+    out.set_version_info(draft.version);
+    for (const ResourcePtr& resource : draft.resources) {
+        auto* any = out.add_resources();
+        any->set_type_url(std::string(url(draft.type)));
+        any->set_value(resource->bytes);
+    }
+    out.mutable_control_plane()->set_identifier(draft.orders);
+    return out;
+}
+
+std::vector<AdsServer::Response> AdsServer::take_responses() {
+    std::vector<Response> out;
+    for (const Draft& draft : drafts()) {
+        out.push_back(to_response(draft));
+        out.back().set_nonce(draft.nonce);
+    }
+    return out;
+}
+
+std::vector<AdsServer::Encoded> AdsServer::take_encoded(ResponseCache& cache) {
+    std::vector<Encoded> out;
+    for (const Draft& draft : drafts()) {
+        std::string key = std::to_string(index(draft.type)) + " " + draft.version + " " + draft.orders;
+        for (const ResourcePtr& resource : draft.resources) {
+            // One order may make several versions of one name (routes differ by forwarder): the object tells.
+            key += " " + resource->name + "=" + std::to_string(reinterpret_cast<std::uintptr_t>(resource.get()));
+        }
+        auto& common = cache.at(key);
+        if (!common) common = std::make_shared<const std::string>(to_response(draft).SerializeAsString());
+        // Field 5, the nonce, behind the others: the order of fields means nothing in protobuf.
+        std::string own = {static_cast<char>(5 << 3 | 2), static_cast<char>(draft.nonce.size())};
+        out.push_back({common, own + draft.nonce});
+    }
+    return out;
+}
+
+std::optional<AdsServer::Draft> AdsServer::next(Type type, Lane& here, bool refused) {
+    if (!may_send(type)) return std::nullopt;
+    Draft out;
+    out.type = type;
     Flight flight;
     std::uint64_t newest = 0;
     const bool whole = whole_state(type);
@@ -162,30 +208,26 @@
     for (auto& [name, item] : here.items) {
         if (!item.wanted || (!here.wildcard && !here.names.contains(name))) continue;
         if (!whole && (refused ? !item.refused : item.sent >= item.wanted->version)) continue;
-        auto* any = out.add_resources();
-        any->set_type_url(std::string(url(type)));
-        any->set_value(item.wanted->bytes);
+        out.resources.push_back(item.wanted);
         item.sent = item.wanted->version, item.refused = false;
         newest = std::max(newest, item.sent);
         flight.items.emplace_back(name, item.sent);
     }
-    if (out.resources_size() == 0 && !(whole && !here.flights.empty())) return std::nullopt;
+    if (out.resources.empty() && !(whole && !here.flights.empty())) return std::nullopt;
     for (const Announced& message : unannounced_) newest = std::max(newest, message.order);
     given_ = std::max(given_, newest);
     if (type == Type::Cluster) flight.items.emplace_back(kOrder, given_);
-    out.set_type_url(std::string(url(type)));
-    out.set_version_info(origin_ + "/" + std::to_string(newest));
-    out.set_nonce(std::to_string(++nonces_));
+    out.version = origin_ + "/" + std::to_string(newest);
+    out.nonce = std::to_string(++nonces_);
     // The orders that this response is the first to carry, when they were ordered and left the channel, and their
     // lines (order@ordered-left+lines): whoever audits the channel can tell from here how much was waiting.
-    std::string identifier = origin_;
+    out.orders = origin_;
     for (const Announced& message : unannounced_)
-        identifier += " " + std::to_string(message.order) + "@" + std::to_string(message.ordered.count()) + "-" +
+        out.orders += " " + std::to_string(message.order) + "@" + std::to_string(message.ordered.count()) + "-" +
                       std::to_string(message.released.count()) + "+" +
                       std::to_string(static_cast<std::int64_t>(message.lines));
     unannounced_.clear();
-    out.mutable_control_plane()->set_identifier(identifier);
-    flight.nonce = out.nonce(), flight.version = out.version_info();
+    flight.nonce = out.nonce, flight.version = out.version;
     here.flights.push_back(std::move(flight));
     return out;
 }
--- a/src/xds/ads_server.h
+++ b/src/xds/ads_server.h
@@ -10,6 +10,7 @@
 #include <array>
 #include <deque>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <tuple>
@@ -20,6 +21,15 @@
 
 namespace badgergrade::xds {
 
+// The bytes of responses that many streams are sent alike: all but the nonce, which is each stream's own.
+class ResponseCache {
+public:
+    std::shared_ptr<const std::string>& at(const std::string& key);
+
+private:
+    std::map<std::string, std::shared_ptr<const std::string>> made_;
+};
+
 class AdsServer {
 public:
     using Request = envoy::service::discovery::v3::DiscoveryRequest;
@@ -51,6 +61,12 @@
     void give(Micros now, const Message& message);
     // What is to be written now, in order; each is handed out once.
     std::vector<Response> take_responses();
+    // The same as bytes: what is common comes from the cache.
+    struct Encoded {
+        std::shared_ptr<const std::string> common;
+        std::string own;
+    };
+    std::vector<Encoded> take_encoded(ResponseCache& cache);
 
     struct Standing {
         std::string acknowledged;  // version last acknowledged
@@ -89,7 +105,15 @@
     void subscribe(Type type, Lane& lane, const Request& request);
     void answer(Type type, Lane& lane, const Request& request, Outcome& out);
     void acknowledged(Type type, Lane& lane, const Flight& flight);
-    std::optional<Response> next(Type type, Lane& lane, bool refused);
+    // A response before it is put into bytes.
+    struct Draft {
+        Type type = Type::Cluster;
+        std::vector<ResourcePtr> resources;
+        std::string version, nonce, orders;
+    };
+    std::optional<Draft> next(Type type, Lane& lane, bool refused);
+    std::vector<Draft> drafts();
+    static Response to_response(const Draft& draft);
     bool may_send(Type type) const;
     std::vector<Applied> proven();
 
--- a/src/xds/board.cpp
+++ b/src/xds/board.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "envoy/config/cluster/v3/cluster.pb.h"
 #include "envoy/config/endpoint/v3/endpoint.pb.h"
@@ -68,25 +69,31 @@
     ++orders_;
     made_.clear();
     Touches touched;
+    std::map<TableId, Changed> changed;
     std::optional<MarkId> mark;
     bool everyone = false;
     for (const Action& action : actions) {
         if (const auto* line = std::get_if<act::Line>(&action)) {
-            if (places_.contains(line->server)) carry_out(*line, touched);
+            if (places_.contains(line->server)) carry_out(*line), changed[line->table].lines += 1;
             else refused.push_back("a line for server " + std::to_string(line->server.v) + ", which no list named");
         } else if (const auto* clear = std::get_if<act::Clear>(&action)) {
-            carry_out(*clear, touched);
+            tables_[clear->table] = {};
+            changed[clear->table].lines += 1, changed[clear->table].levels += 0;
         } else if (const auto* bind = std::get_if<act::Bind>(&action)) {
+            // What came before this binding touches the users that the tables had then.
+            touch_users(std::exchange(changed, {}), touched);
             carry_out(*bind, touched, refused);
         } else if (const auto* withdraw = std::get_if<act::Withdraw>(&action)) {
             if (places_.contains(withdraw->server)) carry_out(*withdraw, touched);
             else refused.push_back("a withdrawal of server " + std::to_string(withdraw->server.v) + ", which no list named");
         } else if (const auto* level = std::get_if<act::Level>(&action)) {
-            carry_out(*level, touched);
+            carry_out(*level);
+            changed[level->table].levels += 1;
         } else if (const auto* marked = std::get_if<act::Mark>(&action)) {
             mark = marked->mark, everyone = marked->everyone;
         }
     }
+    touch_users(changed, touched);
     if (everyone)
         for (const auto& [proxy, held] : proxies_) touched.try_emplace(proxy);
     std::vector<Message> out;
@@ -100,31 +107,34 @@
     return out;
 }
 
-void Board::touch_users(TableId table, Touches& touched, bool routes) {
-    for (const auto& [proxy, held] : proxies_)
-        for (const auto& [ops, bound] : held.bound) {
-            if (bound != table && table != kEveryTable) continue;
+// Every line of a table costs a line at each forwarder that uses it: counted by table first, since a change may be
+// of hundreds of lines and a table have a thousand users.
+void Board::touch_users(const std::map<TableId, Changed>& changed, Touches& touched) {
+    if (changed.empty()) return;
+    const auto everywhere = changed.find(kEveryTable);
+    for (const auto& [proxy, held] : proxies_) {
+        std::set<TableId> seen;
+        for (const auto& [ops, table] : held.bound) {
+            if (!seen.insert(table).second) continue;
+            const auto it = changed.find(table);
+            if (it == changed.end()) continue;
             Touched& touch = touched[proxy];
-            touch.lines += 1;
-            if (routes) touch.routes = true;
-            else touch.assignments.insert(bound);
-            break;
+            touch.lines += it->second.lines + it->second.levels;
+            touch.routes = touch.routes || it->second.levels > 0;
+            if (it->second.lines > 0) touch.assignments.insert(table);
         }
+        if (everywhere == changed.end() || held.bound.empty()) continue;
+        touched[proxy].lines += everywhere->second.levels;
+        touched[proxy].routes = true;
+    }
 }
 
-void Board::carry_out(const act::Line& a, Touches& touched) {
+void Board::carry_out(const act::Line& a) {
     auto& lines = tables_[a.table].lines;
     if (a.weight > 0) lines[a.server] = a.weight;
     else lines.erase(a.server);
-    touch_users(a.table, touched, false);
 }
 
-void Board::carry_out(const act::Clear& a, Touches& touched) {
-    tables_[a.table] = {};
-    touch_users(a.table, touched, false);
-    for (auto& [proxy, touch] : touched)
-        if (touch.assignments.contains(a.table)) touch.routes = true;
-}
 
 void Board::carry_out(const act::Bind& a, Touches& touched, std::vector<std::string>& refused) {
     const auto it = proxies_.find(a.proxy);
@@ -162,14 +172,13 @@
     }
 }
 
-void Board::carry_out(const act::Level& a, Touches& touched) {
+void Board::carry_out(const act::Level& a) {
     for (std::size_t k = 0; k < operations_.size(); ++k) {
         if (!names(a.ops, k)) continue;
         const OpId op{static_cast<int>(k)};
         if (a.table == kEveryTable) every_table_[op] = {a.let_in, a.again};
         else tables_[a.table].levels[op] = {a.let_in, a.again};
     }
-    touch_users(a.table, touched, true);
 }
 
 std::pair<double, Again> Board::level(TableId table, OpId op) const {
--- a/src/xds/board.h
+++ b/src/xds/board.h
@@ -83,12 +83,15 @@
     };
     using Touches = std::map<ProxyId, Touched>;
 
-    void carry_out(const act::Line& a, Touches& touched);
-    void carry_out(const act::Clear& a, Touches& touched);
+    // So many lines and levels of a table were ordered.
+    struct Changed {
+        double lines = 0, levels = 0;
+    };
+    void carry_out(const act::Line& a);
     void carry_out(const act::Bind& a, Touches& touched, std::vector<std::string>& refused);
     void carry_out(const act::Withdraw& a, Touches& touched);
-    void carry_out(const act::Level& a, Touches& touched);
-    void touch_users(TableId table, Touches& touched, bool routes);
+    void carry_out(const act::Level& a);
+    void touch_users(const std::map<TableId, Changed>& changed, Touches& touched);
     std::vector<Change> changes_for(ProxyId proxy, const Touched& touched);
 
     ResourcePtr cluster(TableId table);
--- /dev/null
+++ b/tests/fuzz/messages_fuzz.cpp
@@ -0,0 +1,80 @@
+// Protobuf messages in any order on a stream that has something to say, the list of servers, and settings.
+#include <cstdint>
+
+#include "config/governor_config.h"
+#include "governor/registry_watch.h"
+#include "xds/ads_client.h"
+#include "xds/ads_server.h"
+#include "xds/board.h"
+#include "xds/load_sums.h"
+
+using namespace badgergrade;
+
+namespace {
+
+// Length-prefixed messages out of the input.
+std::vector<std::string> pieces(std::string_view bytes) {
+    std::vector<std::string> out;
+    while (bytes.size() > 1) {
+        const std::size_t n = std::min<std::size_t>(static_cast<unsigned char>(bytes[0]) * 4, bytes.size() - 1);
+        out.emplace_back(bytes.substr(1, n));
+        bytes.remove_prefix(1 + n);
+    }
+    return out;
+}
+
+void server(std::string_view bytes) {
+    Settings told;
+    told.zones = 1;
+    Operation op;
+    op.name = "x";
+    told.operations = {op};
+    xds::Board board(told, {"z"}, Micros{1000000});
+    board.place({1}, {{"127.0.0.1", 80}, "z"});
+    board.joined({0});
+    xds::AdsServer stream("fuzz");
+    std::vector<std::string> refused;
+    int mark = 0;
+    for (const auto& piece : pieces(bytes)) {
+        for (const auto& message : board.order(Micros{++mark}, {act::Line{{0}, {1}, 1.0 + mark % 3}, act::Bind{{0}, 0, {0}}, act::Mark{{mark}, false}}, refused))
+            stream.give(Micros{mark}, message);
+        xds::AdsServer::Request request;
+        if (request.ParseFromString(piece)) stream.on_request(request);
+        stream.take_responses();
+    }
+}
+
+void client(std::string_view bytes) {
+    xds::AdsClient stream({});
+    stream.start();
+    for (const auto& piece : pieces(bytes)) {
+        xds::AdsClient::Response response;
+        if (response.ParseFromString(piece)) stream.on_response(response);
+    }
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+    if (size < 1) return 0;
+    const std::string_view bytes(reinterpret_cast<const char*>(data) + 1, size - 1);
+    std::vector<std::string> refused;
+    std::vector<config::Mistake> mistakes;
+    switch (data[0] % 5) {
+        case 0: server(bytes); break;
+        case 1: client(bytes); break;
+        case 2: {
+            envoy::service::load_stats::v3::LoadStatsRequest report;
+            if (report.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) xds::read_report(report, refused);
+            break;
+        }
+        case 3:
+            try {
+                governor::parse_list(std::string(bytes));
+            } catch (const std::runtime_error&) {
+            }
+            break;
+        default: config::read_governor(config::IniFile::parse("fuzz.ini", std::string(bytes), mistakes), mistakes);
+    }
+    return 0;
+}
