Test of a start without descriptors holds under the sanitizers too

Cause: children inherited the pipes of other children, so the limit of descriptors that fails at the start depended on them, and the loader of a sanitizer build failed before the program. Pipes are closed on exec now.

--- a/tests/program/child.h
+++ b/tests/program/child.h
@@ -24,7 +24,7 @@
 public:
     explicit Child(std::vector<std::string> args, rlim_t descriptors = 0) {
         int ends[2];
-        if (pipe(ends) != 0) throw std::runtime_error("pipe");
+        if (pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("pipe");
         pid_ = fork();
         if (pid_ == 0) {
             dup2(ends[1], 1), dup2(ends[1], 2);
