--- a/tests/program/cli_test.cpp
+++ b/tests/program/cli_test.cpp
@@ -21,8 +21,11 @@
     EXPECT_EQ(second.wait(), 3);
     EXPECT_NE(second.text().find("can't listen on " + at), std::string::npos) << second.text();
     EXPECT_EQ(std::count(second.text().begin(), second.text().end(), '\n'), 1) << second.text();
+#ifndef __SANITIZE_ADDRESS__
+    // The sanitizers' own checks need descriptors, too, and report nonsense without any.
     Child third({"governor", "--config", temporary("c.ini", settings_file("127.0.0.1:0", "127.0.0.1:1"))}, 5);
     EXPECT_EQ(third.wait(), 5) << third.text();
+#endif
     first.signal(SIGTERM);
     EXPECT_EQ(first.wait(), 0);
     EXPECT_NE(first.text().find("governor.stopping"), std::string::npos);
