--- a/src/net/http2.cpp
+++ b/src/net/http2.cpp
@@ -135,7 +135,7 @@
     return NGHTTP2_ERR_CALLBACK_FAILURE;
 }
 
-Http2Session::Http2Session(Role role, Http2Limits limits) : role_(role), limits_(limits) {
+Http2Session::Http2Session(Role role, Http2Limits limits) : limits_(limits) {
     nghttp2_session_callbacks* callbacks = nullptr;
     nghttp2_session_callbacks_new(&callbacks);
     nghttp2_session_callbacks_set_on_begin_headers_callback(callbacks, Callbacks::begin_headers);
--- a/src/net/http2.h
+++ b/src/net/http2.h
@@ -88,7 +88,6 @@
     int idle(bool counts);
 
     nghttp2_session* session_ = nullptr;
-    Role role_;
     Http2Limits limits_;
     std::map<std::int32_t, Out> out_;
     std::map<std::int32_t, In> in_;
--- a/tests/fuzz/messages_fuzz.cpp
+++ b/tests/fuzz/messages_fuzz.cpp
@@ -36,7 +36,8 @@
     std::vector<std::string> refused;
     int mark = 0;
     for (const auto& piece : pieces(bytes)) {
-        for (const auto& message : board.order(Micros{++mark}, {act::Line{{0}, {1}, 1.0 + mark % 3}, act::Bind{{0}, 0, {0}}, act::Mark{{mark}, false}}, refused))
+        ++mark;
+        for (const auto& message : board.order(Micros{mark}, {act::Line{{0}, {1}, 1.0 + mark % 3}, act::Bind{{0}, 0, {0}}, act::Mark{{mark}, false}}, refused))
             stream.give(Micros{mark}, message);
         xds::AdsServer::Request request;
         if (request.ParseFromString(piece)) stream.on_request(request);
