--- a/src/day/auditor.cpp
+++ b/src/day/auditor.cpp
@@ -180,9 +180,11 @@
 void Auditor::server_fell(Micros now, const std::string& server, const std::vector<Push>& pushes) {
     ++checks_["cold"];
     double knowing = 0, all = 0;
+    std::map<std::string, double> by;
     std::string who;
     for (const Push& push : pushes) {
         all += push.work;
+        by[push.forwarder] += push.work;
         const auto it = forwarders_.find(push.forwarder);
         if (it == forwarders_.end() || it->second.governor.empty()) continue;
         const auto& servers = governors_[it->second.governor].servers;
@@ -194,7 +196,10 @@
         if (who.find(it->second.governor) == std::string::npos) who += (who.empty() ? "" : ", ") + it->second.governor;
     }
     if (all > 0 && knowing * 3 >= all * 2)
-        broken("cold", now, server, "pushed over " + in_seconds(now - started_[server]) + " after its start by forwarders of " + who);
+        broken("cold", now, server, "pushed over " + in_seconds(now - started_[server]) + " after its start by forwarders of " + who + ": " +
+                   std::to_string(pushes.size()) + " tries, " + in_seconds(Micros(std::llround(all))) + " of work within " +
+                   in_seconds(config_.told.fall_time) + ", most of it by " +
+                   std::max_element(by.begin(), by.end(), [](const auto& a, const auto& b) { return a.second < b.second; })->first);
 }
 
 // ---- the queue
