--- a/src/day/auditor.cpp
+++ b/src/day/auditor.cpp
@@ -207,25 +207,20 @@
 void Auditor::response_read(Micros now, const std::string& forwarder, const std::string&, const std::string& orders,
                             std::size_t, const std::string&) {
     ForwarderSight& sight = forwarders_[forwarder];
-    std::istringstream words(orders);
-    std::string origin, order;
-    words >> origin;
-    while (words >> order) read_order(now, forwarder, sight, origin, order);
-}
-
-// order@ordered-left+lines, times in microseconds of the governor's clock.
-void Auditor::read_order(Micros now, const std::string& forwarder, ForwarderSight& sight, const std::string& origin,
-                         const std::string& text) {
-    long long number = 0, ordered = 0, left = 0, lines = 0;
-    if (std::sscanf(text.c_str(), "%lld@%lld-%lld+%lld", &number, &ordered, &left, &lines) != 4) return;
-    sight.last_order = std::max(sight.last_order, Micros(ordered));
-    queues_[origin].emplace(Micros(ordered), lines);
-    queues_[origin].emplace(Micros(left), -lines);
+    const auto read = xds::read_orders(orders);
+    for (const auto& order : read.orders) take_order(now, forwarder, sight, read.origin, order);
+}
+
+void Auditor::take_order(Micros now, const std::string& forwarder, ForwarderSight& sight, const std::string& origin,
+                         const xds::ReleasedOrder& order) {
+    sight.last_order = std::max(sight.last_order, order.ordered);
+    queues_[origin].emplace(order.ordered, order.lines);
+    queues_[origin].emplace(order.released, -order.lines);
     const auto& told = config_.told;
     if (told.messages_most <= 0) return;
     ++checks_["queue"];
-    sight.messages.push_back(Micros(left));
-    while (sight.messages.front() + told.messages_window <= Micros(left)) sight.messages.pop_front();
+    sight.messages.push_back(order.released);
+    while (sight.messages.front() + told.messages_window <= order.released) sight.messages.pop_front();
     margins_.messages = std::max(margins_.messages, static_cast<double>(sight.messages.size()) / told.messages_most);
     if (static_cast<int>(sight.messages.size()) > told.messages_most)
         broken("queue", now, origin + " to " + forwarder,
--- a/src/day/auditor.h
+++ b/src/day/auditor.h
@@ -20,6 +20,7 @@
 #include "base/clock.h"
 #include "day/script.h"
 #include "standin/observer.h"
+#include "xds/order_text.h"
 
 namespace badgergrade::day {
 
@@ -87,7 +88,7 @@
     bool warm_server_listed(const GovernorSight& sight, Micros now) const;
     void look();
     void look_at(const std::string& forwarder, ForwarderSight& sight, Micros now);
-    void read_order(Micros now, const std::string& forwarder, ForwarderSight& sight, const std::string& origin, const std::string& text);
+    void take_order(Micros now, const std::string& forwarder, ForwarderSight& sight, const std::string& origin, const xds::ReleasedOrder& order);
     double stretch_since(Micros since) const;
 
     base::Clock& clock_;
--- a/src/day/figures.cpp
+++ b/src/day/figures.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
-#include <sstream>
+#include <utility>
+
+#include "xds/order_text.h"
 
 namespace badgergrade::day {
 
@@ -108,22 +110,17 @@
     ++counts.responses;
     counts.bytes += static_cast<std::int64_t>(bytes);
     counts.rejected += !why.empty();
-    std::istringstream words(orders);
-    std::string word;
-    words >> word;
-    long long newest = 0;
-    while (words >> word) {
-        long long number = 0, ordered = 0, left = 0, lines = 0;
-        if (std::sscanf(word.c_str(), "%lld@%lld-%lld+%lld", &number, &ordered, &left, &lines) != 4) continue;
+    Micros newest{};
+    for (const auto& order : xds::read_orders(orders).orders) {
         ++counts.orders;
-        counts.lines += lines;
-        newest = std::max(newest, ordered);
+        counts.lines += static_cast<std::int64_t>(order.lines);
+        newest = std::max(newest, order.ordered);
     }
     ForwarderSight& sight = forwarders_[forwarder];
-    if (!why.empty() || newest == 0) return;
+    if (!why.empty() || newest == 0us) return;
     for (const Micros told : counts.untold)
-        if (told > sight.applied && told <= Micros(newest)) applied_.push_back(now - told);
-    sight.applied = std::max(sight.applied, Micros(newest));
+        if (told > sight.applied && told <= newest) applied_.push_back(now - told);
+    sight.applied = std::max(sight.applied, newest);
 }
 
 void Figures::list_told(Micros now, const std::string& governor, const governor::ServerList& list) {
--- a/src/day/traffic.cpp
+++ b/src/day/traffic.cpp
@@ -9,12 +9,6 @@
 
 namespace {
 
-std::string numbered(const char* what, int n) {
-    std::string digits = std::to_string(n);
-    if (digits.size() < 3) digits.insert(0, 3 - digits.size(), '0');
-    return std::string(what) + "-" + digits;
-}
-
 // How far a shift has come at this time: 0 before, `by` at its end and after.
 double shifted(const Trouble& t, Micros at) {
     if (at < t.at) return 0;
@@ -40,13 +34,19 @@
 
 }  // namespace
 
+std::string numbered(const char* what, std::size_t n) {
+    std::string digits = std::to_string(n);
+    if (digits.size() < 3) digits.insert(0, 3 - digits.size(), '0');
+    return std::string(what) + "-" + digits;
+}
+
 std::vector<ForwarderPlan> plan_forwarders(const DayScript& script) {
     base::Chance chance(script.seed, "forwarders");
     std::vector<ForwarderPlan> out;
     double sum = 0;
     for (int k = 0; k < script.forwarders; ++k) {
         ForwarderPlan plan;
-        plan.id = numbered("forwarder", k);
+        plan.id = numbered("forwarder", static_cast<std::size_t>(k));
         plan.zone = script.governor.zones[static_cast<std::size_t>(k) % script.governor.zones.size()];
         // Most carry little, some far more.
         plan.weight = chance.lognormal(0.6);
--- a/src/day/traffic.h
+++ b/src/day/traffic.h
@@ -16,6 +16,8 @@
     double rate = 0;    // invocations a second, usual
 };
 
+// "worker", 7 -> "worker-007".
+std::string numbered(const char* what, std::size_t n);
 std::vector<ForwarderPlan> plan_forwarders(const DayScript& script);
 // By forwarder, in the order of time; times count from `begin`.
 std::map<std::string, std::vector<standin::Invocation>> draw_traffic(const DayScript& script,
--- a/src/day/world.cpp
+++ b/src/day/world.cpp
@@ -14,12 +14,6 @@
 constexpr std::uint32_t kTroubles = 2, kRegistry = 3, kGovernors = 10, kWorkers = 1000, kForwarders = 100000, kClients = 200000;
 base::ActorId actor(std::uint32_t kind, std::size_t k = 0) { return {kind + static_cast<std::uint32_t>(k)}; }
 
-std::string numbered(const char* what, std::size_t n) {
-    std::string digits = std::to_string(n);
-    if (digits.size() < 3) digits.insert(0, 3 - digits.size(), '0');
-    return std::string(what) + "-" + digits;
-}
-
 governor::Figures& operator+=(governor::Figures& a, const governor::Figures& b) {
     a.decisions += b.decisions, a.orders += b.orders, a.joins += b.joins, a.rejections += b.rejections, a.lists += b.lists;
     a.handler_cpu_us += b.handler_cpu_us;
@@ -167,6 +161,12 @@
     });
 }
 
+// A cold start, which the list tells of a while later.
+void World::bring_back(std::size_t k, bool unlisted) {
+    start_worker(k, true);
+    if (!unlisted) list_worker(k, Micros(std::llround(chance_.between(script_.list_new_us.low, script_.list_new_us.high))));
+}
+
 void World::list_worker(std::size_t k, Micros delay) {
     const auto put = [this, k, incarnation = workers_[k].incarnation] {
         const WorkerSlot& slot = workers_[k];
@@ -343,9 +343,7 @@
         stop_worker(k, trouble.unlisted);
         later(down, [this, &trouble, k, end, chance] {
             if (workers_[k].worker) return;
-            start_worker(k, true);
-            if (!trouble.unlisted)
-                list_worker(k, Micros(std::llround(chance_.between(script_.list_new_us.low, script_.list_new_us.high))));
+            bring_back(k, trouble.unlisted);
             flap(trouble, k, end, chance);
         });
     });
@@ -362,9 +360,7 @@
     }
     stop_worker(k, false);
     later(trouble.down > 0us ? trouble.down : Micros{5s}, [this, k] {
-        if (workers_[k].worker) return;
-        start_worker(k, true);
-        list_worker(k, Micros(std::llround(chance_.between(script_.list_new_us.low, script_.list_new_us.high))));
+        if (!workers_[k].worker) bring_back(k, false);
     });
 }
 
@@ -407,10 +403,7 @@
             stop_worker(k, trouble.unlisted);
             if (trouble.lasts <= 0us) continue;
             later(trouble.lasts, [this, k, unlisted = trouble.unlisted] {
-                if (workers_[k].worker) return;
-                start_worker(k, true);
-                if (!unlisted)
-                    list_worker(k, Micros(std::llround(chance_.between(script_.list_new_us.low, script_.list_new_us.high))));
+                if (!workers_[k].worker) bring_back(k, unlisted);
             });
         }
     }
@@ -494,8 +487,7 @@
             for (int n = 0; n < std::max(1, trouble.count); ++n) {
                 const std::size_t k = workers_.size();
                 add_worker(static_cast<int>(k));
-                start_worker(k, true);
-                list_worker(k, Micros(std::llround(chance_.between(script_.list_new_us.low, script_.list_new_us.high))));
+                bring_back(k, false);
             }
             return;
         case Kind::RegistryHang:
--- a/src/day/world.h
+++ b/src/day/world.h
@@ -38,7 +38,6 @@
         { for (auto* o : all) o->try_sent(t, f, s, i, op, n, b); }
     void try_ended(Micros t, const std::string& f, const std::string& s, std::uint64_t i, standin::TryEnd e) override
         { for (auto* o : all) o->try_ended(t, f, s, i, e); }
-    void table_in_force(Micros t, const std::string& f, const std::string& g) override { for (auto* o : all) o->table_in_force(t, f, g); }
     void server_up(Micros t, const std::string& s, bool cold) override { for (auto* o : all) o->server_up(t, s, cold); }
     void server_down(Micros t, const std::string& s) override { for (auto* o : all) o->server_down(t, s); }
     void server_fell(Micros t, const std::string& s, const std::vector<Push>& p) override { for (auto* o : all) o->server_fell(t, s, p); }
@@ -94,6 +93,7 @@
     void add_worker(int k);
     void start_worker(std::size_t k, bool cold);
     void stop_worker(std::size_t k, bool unlisted);
+    void bring_back(std::size_t k, bool unlisted);
     void list_worker(std::size_t k, Micros delay);
     void start_forwarder(std::size_t k);
     void start_governor(std::size_t k);
--- a/src/standin/forwarder.cpp
+++ b/src/standin/forwarder.cpp
@@ -156,7 +156,6 @@
         if (!ads_.tables().routes.empty())
             for (auto& [address, pool] : pools_)
                 if (!named.contains(address)) pool->retire();
-        if (observer_) observer_->table_in_force(now, settings_.id, governor);
         tell_pickable();
     }
     const auto call = call_;
--- a/src/standin/observer.h
+++ b/src/standin/observer.h
@@ -43,8 +43,6 @@
                           int /*operation*/, int /*number*/, TryEnd /*before*/) {}
     virtual void try_ended(Micros, const std::string& /*forwarder*/, const std::string& /*server*/, std::uint64_t /*invocation*/,
                            TryEnd) {}
-    // From when on this forwarder acts on a message that a governor sent it.
-    virtual void table_in_force(Micros, const std::string& /*forwarder*/, const std::string& /*governor*/) {}
 
     virtual void server_up(Micros, const std::string& /*server*/, bool /*cold*/) {}
     virtual void server_down(Micros, const std::string& /*server*/) {}
--- a/src/xds/ads_server.cpp
+++ b/src/xds/ads_server.cpp
@@ -70,11 +70,9 @@
             if (!name.empty()) rejection.names.push_back(name);
             if (const auto it = here.items.find(name); it != here.items.end()) it->second.refused = true;
         }
-        here.rejected = flight.version;
         here.refused = true;
         out.rejected = std::move(rejection);
     } else {
-        here.acknowledged = flight.version;
         acknowledged(type, here, flight);
     }
     // The newest answered nonce stays known, so that a change of subscription under it is not called stale.
@@ -214,18 +212,12 @@
         flight.items.emplace_back(name, item.sent);
     }
     if (out.resources.empty() && !(whole && !here.flights.empty())) return std::nullopt;
-    for (const Announced& message : unannounced_) newest = std::max(newest, message.order);
+    for (const ReleasedOrder& message : unannounced_) newest = std::max(newest, message.order);
     given_ = std::max(given_, newest);
     if (type == Type::Cluster) flight.items.emplace_back(kOrder, given_);
     out.version = origin_ + "/" + std::to_string(newest);
     out.nonce = std::to_string(++nonces_);
-    // The orders that this response is the first to carry, when they were ordered and left the channel, and their
-    // lines (order@ordered-left+lines): whoever audits the channel can tell from here how much was waiting.
-    out.orders = origin_;
-    for (const Announced& message : unannounced_)
-        out.orders += " " + std::to_string(message.order) + "@" + std::to_string(message.ordered.count()) + "-" +
-                      std::to_string(message.released.count()) + "+" +
-                      std::to_string(static_cast<std::int64_t>(message.lines));
+    out.orders = to_text(origin_, unannounced_);
     unannounced_.clear();
     flight.nonce = out.nonce, flight.version = out.version;
     here.flights.push_back(std::move(flight));
@@ -256,11 +248,4 @@
     return out;
 }
 
-AdsServer::Standing AdsServer::standing(Type type) const {
-    const Lane& here = lanes_[index(type)];
-    Standing out{here.acknowledged, 0, here.items.size(), here.rejected};
-    for (const Flight& flight : here.flights) out.under_way += !flight.items.empty();
-    return out;
-}
-
 }  // namespace badgergrade::xds
--- a/src/xds/ads_server.h
+++ b/src/xds/ads_server.h
@@ -18,6 +18,7 @@
 
 #include "envoy/service/discovery/v3/discovery.pb.h"
 #include "xds/board.h"
+#include "xds/order_text.h"
 
 namespace badgergrade::xds {
 
@@ -68,12 +69,6 @@
     };
     std::vector<Encoded> take_encoded(ResponseCache& cache);
 
-    struct Standing {
-        std::string acknowledged;  // version last acknowledged
-        std::size_t under_way = 0, wanted = 0;
-        std::string rejected;
-    };
-    Standing standing(Type type) const;
     // Orders given and not yet proven applied.
     std::size_t pending() const { return pending_.size(); }
 
@@ -94,7 +89,6 @@
         std::set<std::string> names;
         std::map<std::string, Item> items;
         std::deque<Flight> flights;
-        std::string acknowledged, rejected;
     };
     struct Pending {
         Applied what;
@@ -121,12 +115,7 @@
     std::size_t messages_most_;
     std::array<Lane, 4> lanes_;
     std::deque<Pending> pending_;
-    struct Announced {
-        std::uint64_t order = 0;
-        Micros ordered{}, released{};
-        double lines = 0;
-    };
-    std::vector<Announced> unannounced_;  // given, not yet named in a response
+    std::vector<ReleasedOrder> unannounced_;  // given, not yet named in a response
     std::uint64_t nonces_ = 0, given_ = 0;
 };
 
