Cold servers are never lent to another zone

A site's six workers had died at 22.0 s, the list said so at 24.9 s; at 24.2 s the reports (retries count as demand) raised the site's share and the module lent it what fitted by size, a server 6 s old. It was the one line of that table that answered, and was pushed over in 0.6 s.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -158,6 +158,7 @@
     ServerId server;
     ZoneId zone;
     double listed, carries;
+    bool cold = false;
 };
 
 double minimum_for(double desired) { return std::ceil(desired / (1 + kOverload) - 1e-9); }
@@ -197,7 +198,9 @@
         };
         for (const Share& s : servers) {
             const double size = std::max(0.5, s.carries);
-            if (s.zone != from || out.at[s.server] != from || s.carries <= 0) continue;
+            // Lent to a zone whose own servers had just died, a cold one was its only line that answered
+            // (bad-day, seed 24): cold servers stay at home.
+            if (s.zone != from || out.at[s.server] != from || s.carries <= 0 || s.cold) continue;
             if (size > *most + 1e-9 || size > -*least + 1e-9) continue;
             if (!pick || rank(s) > rank(*pick)) pick = &s;
         }
@@ -655,7 +658,7 @@
         for (const auto& [id, server] : servers) {
             if (server.state != ServerState::Ready) continue;
             const double carries = is_out(server.zone, id) ? 0 : part_in(now, server.zone, id, server);
-            ready.push_back({id, server.zone, server.weight, carries});
+            ready.push_back({id, server.zone, server.weight, carries, eased(now, server, 1) < 1});
             mean += server.weight;
         }
         if (!ready.empty()) mean /= static_cast<double>(ready.size());
