--- a/src/base/random.h
+++ b/src/base/random.h
@@ -15,6 +15,21 @@
     return XXH3_64bits_withSeed(name.data(), name.size(), seed);
 }
 
+// Chance by number rather than by order: what falls to number n is the same whoever asked before. For invocations,
+// so that two days under other settings meet the same luck.
+class Luck {
+public:
+    Luck(std::uint64_t seed, std::uint64_t number) : seed_(seed), number_(number) {}
+    double part() {
+        const std::uint64_t key[2] = {number_, ++draws_};
+        return static_cast<double>(XXH3_64bits_withSeed(key, sizeof key, seed_) >> 11) * 0x1p-53;
+    }
+    double between(double low, double high) { return low + (high - low) * part(); }
+
+private:
+    std::uint64_t seed_, number_, draws_ = 0;
+};
+
 class Chance {
 public:
     Chance(std::uint64_t seed, std::string_view name) : engine_(seed_for(seed, name)) {}
--- /dev/null
+++ b/src/day/moves.h
@@ -0,0 +1,62 @@
+// What is done to the world of a day, one move at a time: by the script's troubles, or by a recording that is played
+// again. A move names whom it strikes and holds all that it needs, so that the same row of moves makes the same world.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "day/traffic.h"
+#include "standin/worker.h"
+
+namespace badgergrade::day {
+
+// The numbers stand in recordings: never give one another meaning.
+enum class MoveKind {
+    AddWorker = 1,      // worker
+    StartWorker = 2,    // who; on: cold
+    StopWorker = 3,     // who
+    ListWorker = 4,     // who; on: draining
+    UnlistWorker = 5,   // who
+    TroubleWorker = 6,  // who, trouble: as it is from now on
+    CutZone = 7,        // who, on
+    SlowZone = 8,       // who, wait, by: part that is sent again
+    StartForwarder = 9,
+    StopForwarder = 10,
+    BreakStream = 11,
+    IsolateForwarder = 12,  // who, on
+    StallForwarder = 13,    // who, on
+    StartGovernor = 14,
+    StopGovernor = 15,
+    PaceChannels = 16,      // by: times slower
+    HangRegistry = 17,      // on
+    RestartRegistry = 18,   // on: keeps its rows
+    GarbleRegistry = 19,    // text: what it answers instead; empty: itself again
+    ShowOldList = 20,       // on; by: seconds back
+    GiveUp = 21,            // by: part of the integration timeout; wait: how long this lasts
+};
+
+struct Move {
+    MoveKind kind{};
+    std::string who{};
+    bool on = false;
+    double by = 0;
+    Micros wait{};
+    std::string text{};
+    standin::WorkerTrouble trouble{};
+    standin::WorkerSettings worker{};
+};
+
+struct TimedMove {
+    Micros at{};           // since the day's begin
+    bool opening = false;  // part of the beginning, before the clock moves
+    Move what;
+};
+
+// A world that is told rather than drawn from a script.
+struct GivenWorld {
+    std::vector<TimedMove> moves;  // in the order in which they were made
+    std::vector<ForwarderPlan> forwarders;
+    std::map<std::string, std::vector<standin::Invocation>> traffic;  // by forwarder, times since the day's begin
+};
+
+}  // namespace badgergrade::day
--- a/src/day/traffic.cpp
+++ b/src/day/traffic.cpp
@@ -72,7 +72,6 @@
         if (t.kind == Kind::Shift) most *= 1 + t.by * static_cast<double>(script.governor.zones.size());
     }
     std::map<std::string, std::vector<standin::Invocation>> out;
-    std::uint64_t ids = 0;
     for (const ForwarderPlan& plan : forwarders) {
         base::Chance chance(script.seed, "traffic/" + plan.id);
         auto& list = out[plan.id];
@@ -98,7 +97,6 @@
             const Micros when(std::llround(at * 1e6));
             if (chance.part() * most >= factor(when)) continue;
             standin::Invocation one;
-            one.id = ++ids;
             one.forwarder = plan.id;
             double draw = chance.part() * shares;
             while (one.operation + 1 < static_cast<int>(script.operations.size()) &&
@@ -113,6 +111,12 @@
             list.push_back(std::move(one));
         }
     }
+    // Numbered in the order in which they come.
+    std::vector<standin::Invocation*> all;
+    for (auto& [forwarder, list] : out)
+        for (auto& one : list) all.push_back(&one);
+    std::stable_sort(all.begin(), all.end(), [](const auto* a, const auto* b) { return a->came < b->came; });
+    for (std::size_t k = 0; k < all.size(); ++k) all[k]->id = k + 1;
     return out;
 }
 
--- a/src/day/weather.cpp
+++ b/src/day/weather.cpp
@@ -9,10 +9,12 @@
 namespace {
 // What is lost on the way is sent again after this long, as TCP does.
 constexpr Micros kSentAgain = 200ms;
+// So long the weather of one way stays as it is.
+constexpr Micros kMoment = 20ms;
 }  // namespace
 
-DayWeather::DayWeather(const DayScript& script, std::uint64_t seed)
-    : same_(script.same_way), cross_(script.cross_way), orders_(script.orders_way_us), chance_(seed, "weather") {}
+DayWeather::DayWeather(const base::Clock& clock, const DayScript& script, std::uint64_t seed)
+    : same_(script.same_way), cross_(script.cross_way), orders_(script.orders_way_us), clock_(clock), luck_(base::seed_for(seed, "weather")) {}
 
 const std::string& DayWeather::zone(const std::string& host) const {
     static const std::string none;
@@ -20,6 +22,10 @@
     return it == zones_.end() ? none : it->second;
 }
 
+base::Luck DayWeather::luck(const char* what, const std::string& from, const std::string& to) const {
+    return base::Luck(base::seed_for(luck_, what + ("/" + from) + "/" + to), static_cast<std::uint64_t>(clock_.now() / kMoment));
+}
+
 void DayWeather::cut(const std::string& zone, bool on) {
     if (on) cut_.insert(zone);
     else cut_.erase(zone);
@@ -40,10 +46,10 @@
         for (const auto& [zone, slow] : slow_) {
             if (slow.wait <= 0us || (zone != a && zone != b)) continue;
             out += slow.wait;
-            if (slow.lost > 0 && chance_.happens(slow.lost)) out += kSentAgain;
+            if (slow.lost > 0 && luck("lost", from, to).part() < slow.lost) out += kSentAgain;
         }
     if (governors_.contains(from) && forwarders_.contains(to))
-        out += Micros(std::llround(chance_.between(orders_.low, orders_.high)));
+        out += Micros(std::llround(luck("orders", from, to).between(orders_.low, orders_.high)));
     return out;
 }
 
--- a/src/day/weather.h
+++ b/src/day/weather.h
@@ -1,11 +1,14 @@
 // The ways between the hosts of a day: latency within and across zones, the orders' way from governors to
-// forwarders, slow links and cuts. Hosts without a zone (the registry) are near to all and never cut off.
+// forwarders, slow links and cuts. What chance does to a message goes by the way and the moment, never by how many
+// were sent before, so that two days under other settings meet the same weather.
+// Hosts without a zone (the registry) are near to all and never cut off.
 #pragma once
 
 #include <map>
 #include <set>
 #include <string>
 
+#include "base/clock.h"
 #include "base/random.h"
 #include "day/script.h"
 #include "net/network.h"
@@ -14,7 +17,7 @@
 
 class DayWeather final : public net::Weather {
 public:
-    DayWeather(const DayScript& script, std::uint64_t seed);
+    DayWeather(const base::Clock& clock, const DayScript& script, std::uint64_t seed);
 
     void place(const std::string& host, const std::string& zone) { zones_[host] = zone; }
     void call_governor(const std::string& host) { governors_.insert(host); }
@@ -32,10 +35,12 @@
 
 private:
     const std::string& zone(const std::string& host) const;
+    base::Luck luck(const char* what, const std::string& from, const std::string& to) const;
 
     Micros same_, cross_;
     Range orders_;
-    base::Chance chance_;
+    const base::Clock& clock_;
+    std::uint64_t luck_;
     std::map<std::string, std::string> zones_;
     std::set<std::string> governors_, forwarders_, cut_;
     std::map<std::string, Slow> slow_;
--- a/src/day/world.cpp
+++ b/src/day/world.cpp
@@ -31,8 +31,9 @@
     return out;
 }
 
-World::World(net::Loop& loop, const DayScript& script, log::Log& log, const std::vector<standin::Observer*>& watchers)
-    : loop_(loop), script_(script), log_(log), weather_(script, script.seed), begin_(loop.clock().now()),
+World::World(net::Loop& loop, const DayScript& script, log::Log& log, const std::vector<standin::Observer*>& watchers,
+             const GivenWorld* given)
+    : loop_(loop), script_(script), given_(given), log_(log), weather_(loop.clock(), script, script.seed), begin_(loop.clock().now()),
       chance_(script.seed, "world") {
     watchers_.all = watchers;
     loop_.weather = &weather_;
@@ -62,48 +63,187 @@
 }
 
 void World::start() {
-    for (int k = 0; k < script_.workers; ++k) {
-        add_worker(k);
-        start_worker(static_cast<std::size_t>(k), false);
-        list_worker(static_cast<std::size_t>(k), 0us);
+    opening_ = true;
+    if (given_) open_given();
+    else open_script();
+    opening_ = false;
+}
+
+void World::open_script() {
+    using enum MoveKind;
+    for (std::size_t k = 0; k < static_cast<std::size_t>(script_.workers); ++k) {
+        const auto settings = draw_worker(k);
+        make({.kind = AddWorker, .who = settings.id, .worker = settings});
+        make({.kind = StartWorker, .who = settings.id});
+        make({.kind = ListWorker, .who = settings.id});
     }
-    for (int k = 0; k < script_.governors; ++k) {
-        GovernorSlot slot;
-        slot.name = "governor-" + std::to_string(k);
-        slot.zone = script_.governor.zones[static_cast<std::size_t>(k) % script_.governor.zones.size()];
-        slot.port = std::make_unique<net::PortHold>(loop_);
-        weather_.place(slot.name, slot.zone);
-        weather_.call_governor(slot.name);
-        governors_.push_back(std::move(slot));
-        start_governor(static_cast<std::size_t>(k));
+    for (std::size_t k = 0; k < static_cast<std::size_t>(script_.governors); ++k) {
+        add_governor(k);
+        make({.kind = StartGovernor, .who = governors_[k].name});
     }
     const auto plans = plan_forwarders(script_);
-    auto traffic = draw_traffic(script_, plans, begin_);
+    for (const auto& plan : plans) add_forwarder(plan);
+    for (const auto& plan : plans) make({.kind = StartForwarder, .who = plan.id});
+    add_clients(plans, draw_traffic(script_, plans, begin_));
+    for (const Trouble& trouble : script_.troubles)
+        later(trouble.at, [this, &trouble] { strike(trouble); });
+}
+
+void World::open_given() {
+    for (std::size_t k = 0; k < static_cast<std::size_t>(script_.governors); ++k) add_governor(k);
+    for (const auto& plan : given_->forwarders) add_forwarder(plan);
+    for (const TimedMove& move : given_->moves)
+        if (move.opening) make(move.what);
+    auto traffic = given_->traffic;
+    for (auto& [forwarder, list] : traffic)
+        for (auto& one : list) one.came += begin_;
+    add_clients(given_->forwarders, std::move(traffic));
+    for (const TimedMove& move : given_->moves)
+        if (!move.opening) later(move.at, [this, &move] { make(move.what); });
+}
+
+void World::add_governor(std::size_t k) {
+    GovernorSlot slot;
+    slot.name = "governor-" + std::to_string(k);
+    slot.zone = script_.governor.zones[k % script_.governor.zones.size()];
+    slot.port = std::make_unique<net::PortHold>(loop_);
+    weather_.place(slot.name, slot.zone);
+    weather_.call_governor(slot.name);
+    governors_.push_back(std::move(slot));
+}
+
+void World::add_forwarder(const ForwarderPlan& plan) {
+    ForwarderSlot slot;
+    slot.plan = plan;
+    slot.port = std::make_unique<net::PortHold>(loop_);
+    weather_.place(plan.id, plan.zone);
+    weather_.call_forwarder(plan.id);
+    forwarders_.push_back(std::move(slot));
+}
+
+std::vector<standin::ClientSettings::GivesUp> World::gives_up() const {
+    std::vector<standin::ClientSettings::GivesUp> out;
+    if (given_) {
+        for (const TimedMove& move : given_->moves)
+            if (move.what.kind == MoveKind::GiveUp)
+                out.push_back({begin_ + move.at, begin_ + move.at + move.what.wait, move.what.by});
+        return out;
+    }
+    for (const Trouble& t : script_.troubles)
+        if (t.kind == Kind::GiveUp) out.push_back({begin_ + t.at, begin_ + t.at + t.lasts, t.by});
+    return out;
+}
+
+void World::add_clients(const std::vector<ForwarderPlan>& plans, std::map<std::string, std::vector<standin::Invocation>> traffic) {
     standin::ClientSettings clients;
     clients.retries = script_.client_retries, clients.wait = script_.client_wait, clients.try_share = script_.client_try_share;
     clients.operations = script_.governor.told.operations;
-    for (const Trouble& t : script_.troubles)
-        if (t.kind == Kind::GiveUp) clients.gives_up.push_back({begin_ + t.at, begin_ + t.at + t.lasts, t.by});
+    clients.gives_up = gives_up();
     for (std::size_t k = 0; k < plans.size(); ++k) {
-        ForwarderSlot slot;
-        slot.plan = plans[k];
-        slot.port = std::make_unique<net::PortHold>(loop_);
         const std::string client = numbered("client", k);
-        weather_.place(slot.plan.id, slot.plan.zone);
-        weather_.place(client, slot.plan.zone);
-        weather_.call_forwarder(slot.plan.id);
-        forwarders_.push_back(std::move(slot));
-        start_forwarder(k);
+        weather_.place(client, plans[k].zone);
         forwarders_[k].client = std::make_unique<standin::Client>(loop_, actor(kClients, k), client, clients, forwarders_[k].port->address(),
                                                                   std::move(traffic[plans[k].id]), &watchers_);
     }
-    for (const Trouble& trouble : script_.troubles)
-        later(trouble.at, [this, &trouble] { strike(trouble); });
+}
+
+// ---- moves
+
+void World::make(Move move) {
+    if (on_move) on_move(loop_.clock().now(), opening_, move);
+    apply(move);
+}
+
+namespace {
+template <class Slots, class Name>
+std::size_t called(const Slots& slots, const std::string& id, Name name) {
+    const auto it = std::find_if(slots.begin(), slots.end(), [&](const auto& slot) { return name(slot) == id; });
+    if (it == slots.end()) throw std::runtime_error("a move names '" + id + "', which this day does not have");
+    return static_cast<std::size_t>(it - slots.begin());
+}
+}  // namespace
+
+std::size_t World::worker_called(const std::string& id) const {
+    return called(workers_, id, [](const WorkerSlot& slot) { return slot.settings.id; });
+}
+std::size_t World::forwarder_called(const std::string& id) const {
+    return called(forwarders_, id, [](const ForwarderSlot& slot) { return slot.plan.id; });
+}
+std::size_t World::governor_called(const std::string& id) const {
+    return called(governors_, id, [](const GovernorSlot& slot) { return slot.name; });
+}
+
+void World::apply(const Move& move) {
+    using enum MoveKind;
+    switch (move.kind) {
+        case AddWorker: return add_worker(move.worker);
+        case StartWorker:
+        case StopWorker:
+        case ListWorker:
+        case UnlistWorker:
+        case TroubleWorker: return apply_to_worker(move);
+        case CutZone: return weather_.cut(move.who, move.on);
+        case SlowZone: return weather_.slow(move.who, {move.wait, move.by});
+        case StartForwarder:
+        case StopForwarder:
+        case BreakStream:
+        case IsolateForwarder:
+        case StallForwarder: return apply_to_forwarder(move);
+        case StartGovernor: return start_governor(governor_called(move.who));
+        case StopGovernor: return stop_governor(governor_called(move.who));
+        case PaceChannels: return pace_channels(move.by);
+        case HangRegistry: return registry_->hang(move.on);
+        case RestartRegistry: return registry_->restart(move.on);
+        case GarbleRegistry: return void(registry_->garbage = move.text);
+        case ShowOldList: return show_old_list(move.on, move.by);
+        case GiveUp: return;  // the clients know it from the beginning
+    }
+}
+
+void World::apply_to_worker(const Move& move) {
+    const std::size_t k = worker_called(move.who);
+    switch (move.kind) {
+        case MoveKind::StartWorker: return start_worker(k, move.on);
+        case MoveKind::StopWorker: return workers_[k].worker.reset();
+        case MoveKind::ListWorker: return put_on_list(k, move.on);
+        case MoveKind::UnlistWorker:
+            registry_->remove(move.who);
+            list_history_[loop_.clock().now()] = registry_->rows();
+            return;
+        default:
+            if (workers_[k].worker) workers_[k].worker->trouble = move.trouble;
+    }
+}
+
+void World::apply_to_forwarder(const Move& move) {
+    const std::size_t k = forwarder_called(move.who);
+    if (move.kind == MoveKind::StartForwarder) return start_forwarder(k);
+    const auto& forwarder = forwarders_[k].forwarder;
+    if (!forwarder) return;
+    if (move.kind == MoveKind::StopForwarder) forwarders_[k].forwarder.reset();
+    else if (move.kind == MoveKind::BreakStream) forwarder->break_stream();
+    else if (move.kind == MoveKind::IsolateForwarder) forwarder->isolate(move.on);
+    else forwarder->stall(move.on);
+}
+
+// The list as it stood so many seconds before.
+void World::show_old_list(bool on, double seconds_back) {
+    if (!on) return registry_->show_instead(std::nullopt);
+    const Micros then = loop_.clock().now() - Micros(std::llround(seconds_back * 1e6));
+    auto at = list_history_.upper_bound(then);
+    if (at != list_history_.begin()) --at;
+    if (at != list_history_.end()) registry_->show_instead(at->second);
+}
+
+void World::pace_channels(double slower) {
+    for (auto& slot : governors_)
+        if (slot.service) slot.service->set_channel_pace(1 / slower);
+    if (on_slow_channel) on_slow_channel(slower);
 }
 
 // ---- workers
 
-void World::add_worker(int k) {
+standin::WorkerSettings World::draw_worker(std::size_t k) const {
     base::Chance chance(script_.seed, "worker/" + std::to_string(k));
     const Settings& told = script_.governor.told;
     double shares = 0;
@@ -112,10 +252,9 @@
     std::size_t which = 0;
     while (which + 1 < script_.kinds.size() && (draw -= script_.kinds[which].share) >= 0) ++which;
     const MachineKind& kind = script_.kinds[which];
-    WorkerSlot slot;
-    standin::WorkerSettings& s = slot.settings;
-    s.id = numbered("worker", static_cast<std::size_t>(k));
-    s.zone = script_.governor.zones[static_cast<std::size_t>(k) % script_.governor.zones.size()];
+    standin::WorkerSettings s;
+    s.id = numbered("worker", k);
+    s.zone = script_.governor.zones[k % script_.governor.zones.size()];
     s.cores = kind.cores;
     s.speed = chance.between(kind.speed.low, kind.speed.high);
     s.queue_per_core = static_cast<std::size_t>(std::llround(chance.between(kind.queue_per_core.low, kind.queue_per_core.high)));
@@ -128,16 +267,21 @@
     s.key_gain = script_.key_gain, s.key_time = script_.key_kept;
     s.reports_load = !told.load_columns.empty();
     s.report_every = Micros(std::llround(chance.between(300e3, 1000e3)));
+    return s;
+}
+
+void World::add_worker(const standin::WorkerSettings& settings) {
+    WorkerSlot slot;
+    slot.settings = settings;
     slot.port = std::make_unique<net::PortHold>(loop_);
-    s.listen = slot.port->address();
-    weather_.place(s.id, s.zone);
+    slot.settings.listen = slot.port->address();
+    weather_.place(settings.id, settings.zone);
     workers_.push_back(std::move(slot));
 }
 
 void World::start_worker(std::size_t k, bool cold) {
     WorkerSlot& slot = workers_[k];
     ++slot.incarnation;
-    slot.draining = false;
     slot.started = cold ? loop_.clock().now() : 0us;
     standin::WorkerSettings settings = slot.settings;
     settings.id += "/" + std::to_string(slot.incarnation);
@@ -150,40 +294,42 @@
 void World::stop_worker(std::size_t k, bool unlisted) {
     WorkerSlot& slot = workers_[k];
     if (!slot.worker) return;
-    slot.worker.reset();
+    make({.kind = MoveKind::StopWorker, .who = slot.settings.id});
     if (unlisted) return;
     const Micros delay(std::llround(chance_.between(script_.list_gone_us.low, script_.list_gone_us.high)));
     later(delay, [this, k, incarnation = slot.incarnation] {
         // Back before the list noticed: its new start is listed instead.
         if (workers_[k].incarnation != incarnation || workers_[k].worker) return;
-        registry_->remove(workers_[k].settings.id);
-        list_history_[loop_.clock().now()] = registry_->rows();
+        make({.kind = MoveKind::UnlistWorker, .who = workers_[k].settings.id});
     });
 }
 
 // A cold start, which the list tells of a while later.
 void World::bring_back(std::size_t k, bool unlisted) {
-    start_worker(k, true);
+    make({.kind = MoveKind::StartWorker, .who = workers_[k].settings.id, .on = true});
     if (!unlisted) list_worker(k, Micros(std::llround(chance_.between(script_.list_new_us.low, script_.list_new_us.high))));
 }
 
-void World::list_worker(std::size_t k, Micros delay) {
-    const auto put = [this, k, incarnation = workers_[k].incarnation] {
+void World::list_worker(std::size_t k, Micros delay, bool draining) {
+    later(delay, [this, k, draining, incarnation = workers_[k].incarnation] {
         const WorkerSlot& slot = workers_[k];
-        if (slot.incarnation != incarnation || !slot.worker) return;
-        standin::Registry::Row row;
-        row.server.id = slot.settings.id, row.server.zone = slot.settings.zone;
-        row.server.address = slot.settings.listen;
-        row.server.incarnation = std::to_string(slot.incarnation);
-        row.server.state = slot.draining ? ServerState::Draining : ServerState::Ready;
-        // The size as registered, roughly.
-        row.server.weight = std::round(slot.settings.cores * slot.settings.speed * 4) / 4;
-        row.started = slot.started;
-        registry_->put(row);
-        list_history_[loop_.clock().now()] = registry_->rows();
-    };
-    if (delay <= 0us) put();
-    else later(delay, put);
+        if (slot.incarnation == incarnation && slot.worker)
+            make({.kind = MoveKind::ListWorker, .who = slot.settings.id, .on = draining});
+    });
+}
+
+void World::put_on_list(std::size_t k, bool draining) {
+    const WorkerSlot& slot = workers_[k];
+    standin::Registry::Row row;
+    row.server.id = slot.settings.id, row.server.zone = slot.settings.zone;
+    row.server.address = slot.settings.listen;
+    row.server.incarnation = std::to_string(slot.incarnation);
+    row.server.state = draining ? ServerState::Draining : ServerState::Ready;
+    // The size as registered, roughly.
+    row.server.weight = std::round(slot.settings.cores * slot.settings.speed * 4) / 4;
+    row.started = slot.started;
+    registry_->put(row);
+    list_history_[loop_.clock().now()] = registry_->rows();
 }
 
 // ---- governors and forwarders
@@ -200,6 +346,7 @@
     config.xds_address = net::to_text(slot.port->address());
     config.registry_address = net::to_text(registry_port_->address());
     slot.service = std::make_unique<governor::Service>(loop_, actor(kGovernors, k), config, log_, "life-" + std::to_string(++slot.life));
+    if (governor_watcher) slot.service->watch(*governor_watcher);
     slot.service->tamper = [this, k](Micros now, std::vector<Action>& actions) {
         if (tamper) tamper(static_cast<int>(k), *governors_[k].service, now, actions);
     };
@@ -313,12 +460,19 @@
     return drawn(std::move(from), trouble.part, trouble.count, chance);
 }
 
+void World::trouble_worker(std::size_t k, const std::function<void(standin::WorkerTrouble&)>& change) {
+    Move move{.kind = MoveKind::TroubleWorker, .who = workers_[k].settings.id, .trouble = workers_[k].worker->trouble};
+    change(move.trouble);
+    make(std::move(move));
+}
+
 // Changes those struck, and back when the trouble is over (unless they died meanwhile).
 void World::each_worker(const Trouble& trouble, const std::function<void(standin::WorkerTrouble&, bool)>& change) {
     for (const std::size_t k : struck_workers(trouble)) {
-        change(workers_[k].worker->trouble, true);
+        trouble_worker(k, [&](standin::WorkerTrouble& t) { change(t, true); });
         later(trouble.lasts, [this, k, change, incarnation = workers_[k].incarnation] {
-            if (workers_[k].worker && workers_[k].incarnation == incarnation) change(workers_[k].worker->trouble, false);
+            if (workers_[k].worker && workers_[k].incarnation == incarnation)
+                trouble_worker(k, [&](standin::WorkerTrouble& t) { change(t, false); });
         });
     }
 }
@@ -331,11 +485,10 @@
     later(up, [this, &trouble, k, end, chance, down] {
         if (loop_.clock().now() >= end || !workers_[k].worker) return;
         if (trouble.how == "hang" || trouble.how == "errors") {
-            auto& t = workers_[k].worker->trouble;
-            (trouble.how == "hang" ? t.hangs = true : (t.errors = 0.95) > 0);
+            trouble_worker(k, [&](standin::WorkerTrouble& t) { trouble.how == "hang" ? void(t.hangs = true) : void(t.errors = 0.95); });
             later(down, [this, &trouble, k, end, chance, incarnation = workers_[k].incarnation] {
                 if (!workers_[k].worker || workers_[k].incarnation != incarnation) return;
-                workers_[k].worker->trouble = {};
+                trouble_worker(k, [](standin::WorkerTrouble& t) { t = {}; });
                 flap(trouble, k, end, chance);
             });
             return;
@@ -354,7 +507,7 @@
     if (!slot.worker || slot.incarnation != incarnation) return;
     const double part = static_cast<double>((loop_.clock().now() - began).count()) / static_cast<double>(trouble.lasts.count());
     if (part < 1) {
-        slot.worker->trouble.slower = 1 + (trouble.by - 1) * part;
+        trouble_worker(k, [&](standin::WorkerTrouble& t) { t.slower = 1 + (trouble.by - 1) * part; });
         later(500ms, [this, &trouble, k, incarnation, began] { age(trouble, k, incarnation, began); });
         return;
     }
@@ -367,7 +520,7 @@
 void World::strike_neighbour(const Trouble& trouble, std::size_t k, Micros end, bool on) {
     if (!workers_[k].worker) return;
     const bool over = loop_.clock().now() >= end;
-    workers_[k].worker->trouble.taken = on && !over ? trouble.by : 0;
+    trouble_worker(k, [&](standin::WorkerTrouble& t) { t.taken = on && !over ? trouble.by : 0; });
     if (over) return;
     const Micros turn = trouble.turn > 0us ? trouble.turn : trouble.lasts;
     later(std::min(turn, end - loop_.clock().now()), [this, &trouble, k, end, on] { strike_neighbour(trouble, k, end, !on); });
@@ -396,8 +549,7 @@
             flap(trouble, k, now + trouble.lasts,
                  std::make_shared<base::Chance>(script_.seed, "flap/" + std::to_string(trouble.line) + "/" + std::to_string(k)));
         } else if (trouble.kind == Kind::Drain) {
-            workers_[k].draining = true;
-            list_worker(k, 1us);
+            list_worker(k, 1us, true);
             later(trouble.lasts > 0us ? trouble.lasts : 3 * script_.governor.told.grace, [this, k] { stop_worker(k, false); });
         } else {  // crash, and a whole zone lost
             stop_worker(k, trouble.unlisted);
@@ -409,98 +561,90 @@
     }
 }
 
+void World::strike_forwarders(const Trouble& trouble) {
+    for (const std::size_t k : struck_forwarders(trouble)) {
+        const std::string& id = forwarders_[k].plan.id;
+        if (!forwarders_[k].forwarder) continue;
+        if (trouble.kind == Kind::StreamsBreak) {
+            make({.kind = MoveKind::BreakStream, .who = id});
+        } else if (trouble.kind == Kind::ForwarderCrash) {
+            make({.kind = MoveKind::StopForwarder, .who = id});
+            later(trouble.lasts, [this, k] {
+                if (!forwarders_[k].forwarder) make({.kind = MoveKind::StartForwarder, .who = forwarders_[k].plan.id});
+            });
+        } else {
+            const auto kind = trouble.kind == Kind::ForwarderStall ? MoveKind::StallForwarder : MoveKind::IsolateForwarder;
+            make({.kind = kind, .who = id, .on = true});
+            later(trouble.lasts, [this, k, kind] {
+                if (forwarders_[k].forwarder) make({.kind = kind, .who = forwarders_[k].plan.id, .on = false});
+            });
+        }
+    }
+}
+
+void World::lose_zone(const Trouble& trouble) {
+    for (std::size_t k = 0; k < workers_.size(); ++k) {
+        if (workers_[k].settings.zone != trouble.one) continue;
+        Trouble one = trouble;
+        one.kind = Kind::Crash, one.one = workers_[k].settings.id;
+        strike_workers(one);
+    }
+    for (std::size_t k = 0; trouble.with_forwarders && k < forwarders_.size(); ++k) {
+        if (forwarders_[k].plan.zone != trouble.one) continue;
+        make({.kind = MoveKind::StopForwarder, .who = forwarders_[k].plan.id});
+        later(trouble.lasts, [this, k] {
+            if (!forwarders_[k].forwarder) make({.kind = MoveKind::StartForwarder, .who = forwarders_[k].plan.id});
+        });
+    }
+    for (std::size_t k = 0; trouble.with_governors && k < governors_.size(); ++k)
+        if (governors_[k].zone == trouble.one) crash_governor(k, trouble.lasts);
+}
+
+void World::crash_governor(std::size_t k, Micros lasts) {
+    make({.kind = MoveKind::StopGovernor, .who = governors_[k].name});
+    later(lasts, [this, k] {
+        if (!governors_[k].service) make({.kind = MoveKind::StartGovernor, .who = governors_[k].name});
+    });
+}
+
 void World::strike(const Trouble& trouble) {
+    using enum MoveKind;
     log::Voice(log_, "day").info("trouble", {{"kind", trouble.name}, {"line", trouble.line}});
+    if (on_trouble) on_trouble(loop_.clock().now(), trouble);
+    // Now, and the opposite when the trouble is over.
+    const auto for_a_while = [&](Move move, Move back) {
+        make(std::move(move));
+        later(trouble.lasts, [this, back = std::move(back)] { make(back); });
+    };
     switch (trouble.kind) {
-        case Kind::ZoneCut:
-            weather_.cut(trouble.one, true);
-            return later(trouble.lasts, [this, &trouble] { weather_.cut(trouble.one, false); });
+        case Kind::ZoneCut: return for_a_while({.kind = CutZone, .who = trouble.one, .on = true}, {.kind = CutZone, .who = trouble.one});
         case Kind::SlowLink:
-            weather_.slow(trouble.one, {trouble.wait, trouble.by});
-            return later(trouble.lasts, [this, &trouble] { weather_.slow(trouble.one, {}); });
-        case Kind::ZoneLoss: {
-            for (std::size_t k = 0; k < workers_.size(); ++k) {
-                if (workers_[k].settings.zone != trouble.one) continue;
-                Trouble one = trouble;
-                one.kind = Kind::Crash, one.one = workers_[k].settings.id;
-                strike_workers(one);
-            }
-            for (std::size_t k = 0; trouble.with_forwarders && k < forwarders_.size(); ++k) {
-                if (forwarders_[k].plan.zone != trouble.one) continue;
-                forwarders_[k].forwarder.reset();
-                later(trouble.lasts, [this, k] { if (!forwarders_[k].forwarder) start_forwarder(k); });
-            }
-            for (std::size_t k = 0; trouble.with_governors && k < governors_.size(); ++k) {
-                if (governors_[k].zone != trouble.one) continue;
-                stop_governor(k);
-                later(trouble.lasts, [this, k] { if (!governors_[k].service) start_governor(k); });
-            }
-            return;
-        }
-        case Kind::SlowChannel:
-            for (auto& slot : governors_)
-                if (slot.service) slot.service->set_channel_pace(1 / trouble.by);
-            if (on_slow_channel) on_slow_channel(trouble.by);
-            return later(trouble.lasts, [this] {
-                for (auto& slot : governors_)
-                    if (slot.service) slot.service->set_channel_pace(1);
-                if (on_slow_channel) on_slow_channel(1);
-            });
+            return for_a_while({.kind = SlowZone, .who = trouble.one, .by = trouble.by, .wait = trouble.wait},
+                               {.kind = SlowZone, .who = trouble.one});
+        case Kind::ZoneLoss: return lose_zone(trouble);
+        case Kind::SlowChannel: return for_a_while({.kind = PaceChannels, .by = trouble.by}, {.kind = PaceChannels, .by = 1});
         case Kind::StreamsBreak:
-            for (const std::size_t k : struck_forwarders(trouble))
-                if (forwarders_[k].forwarder) forwarders_[k].forwarder->break_stream();
-            return;
         case Kind::GovernorsUnreachable:
-            for (const std::size_t k : struck_forwarders(trouble)) {
-                if (!forwarders_[k].forwarder) continue;
-                forwarders_[k].forwarder->isolate(true);
-                later(trouble.lasts, [this, k] { if (forwarders_[k].forwarder) forwarders_[k].forwarder->isolate(false); });
-            }
-            return;
         case Kind::ForwarderStall:
-            for (const std::size_t k : struck_forwarders(trouble)) {
-                if (!forwarders_[k].forwarder) continue;
-                forwarders_[k].forwarder->stall(true);
-                later(trouble.lasts, [this, k] { if (forwarders_[k].forwarder) forwarders_[k].forwarder->stall(false); });
-            }
-            return;
-        case Kind::ForwarderCrash:
-            for (const std::size_t k : struck_forwarders(trouble)) {
-                forwarders_[k].forwarder.reset();
-                later(trouble.lasts, [this, k] { if (!forwarders_[k].forwarder) start_forwarder(k); });
-            }
-            return;
-        case Kind::GovernorCrash: {
-            const auto k = static_cast<std::size_t>(std::stoi(trouble.one));
-            stop_governor(k);
-            return later(trouble.lasts, [this, k] { if (!governors_[k].service) start_governor(k); });
-        }
-        case Kind::WrongList: {
-            // The list as it stood so many seconds before.
-            const Micros then = loop_.clock().now() - Micros(std::llround(trouble.by * 1e6));
-            auto at = list_history_.upper_bound(then);
-            if (at != list_history_.begin()) --at;
-            registry_->show_instead(at->second);
-            return later(trouble.lasts, [this] { registry_->show_instead(std::nullopt); });
-        }
+        case Kind::ForwarderCrash: return strike_forwarders(trouble);
+        case Kind::GovernorCrash: return crash_governor(static_cast<std::size_t>(std::stoi(trouble.one)), trouble.lasts);
+        case Kind::WrongList: return for_a_while({.kind = ShowOldList, .on = true, .by = trouble.by}, {.kind = ShowOldList});
         case Kind::Grow:
             for (int n = 0; n < std::max(1, trouble.count); ++n) {
                 const std::size_t k = workers_.size();
-                add_worker(static_cast<int>(k));
+                const auto settings = draw_worker(k);
+                make({.kind = AddWorker, .who = settings.id, .worker = settings});
                 bring_back(k, false);
             }
             return;
-        case Kind::RegistryHang:
-            registry_->hang(true);
-            return later(trouble.lasts, [this] { registry_->hang(false); });
-        case Kind::RegistryRestart: return registry_->restart(trouble.how != "empty");
+        case Kind::RegistryHang: return for_a_while({.kind = HangRegistry, .on = true}, {.kind = HangRegistry});
+        case Kind::RegistryRestart: return make({.kind = RestartRegistry, .on = trouble.how != "empty"});
         case Kind::RegistryGarbage:
-            registry_->garbage = "{\"registry\": 7, ";
-            return later(trouble.lasts, [this] { registry_->garbage.clear(); });
-        // Drawn into the traffic and the clients beforehand.
+            return for_a_while({.kind = GarbleRegistry, .text = "{\"registry\": 7, "}, {.kind = GarbleRegistry});
+        case Kind::GiveUp: return make({.kind = MoveKind::GiveUp, .by = trouble.by, .wait = trouble.lasts});
+        // Drawn into the traffic beforehand.
         case Kind::Burst:
-        case Kind::Shift:
-        case Kind::GiveUp: return;
+        case Kind::Shift: return;
         default: return strike_workers(trouble);
     }
 }
--- a/src/day/world.h
+++ b/src/day/world.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "day/moves.h"
 #include "day/script.h"
 #include "day/traffic.h"
 #include "day/weather.h"
@@ -48,7 +49,9 @@
 class World {
 public:
     // Starts the fleet at the clock's present; invocations come from then on.
-    World(net::Loop& loop, const DayScript& script, log::Log& log, const std::vector<standin::Observer*>& watchers);
+    // With `given`, the fleet, the troubles and the invocations are those, and the script's are not drawn.
+    World(net::Loop& loop, const DayScript& script, log::Log& log, const std::vector<standin::Observer*>& watchers,
+          const GivenWorld* given = nullptr);
     ~World();
 
     Micros begin() const { return begin_; }
@@ -59,6 +62,11 @@
     std::function<void(standin::Forwarder&)> on_forwarder;
     // The channel's pace changed by this factor (the auditor's rules stretch with it).
     std::function<void(double slower)> on_slow_channel;
+    // Hears of each move before it is made, and of each trouble of the script as it strikes.
+    std::function<void(Micros now, bool opening, const Move&)> on_move;
+    std::function<void(Micros now, const Trouble&)> on_trouble;
+    // Hears what governors are told and decide.
+    governor::Watcher* governor_watcher = nullptr;
 
     std::vector<governor::Figures> governor_figures() const;
     standin::Registry& registry() { return *registry_; }
@@ -72,7 +80,6 @@
         std::unique_ptr<standin::Worker> worker;
         int incarnation = 0;
         Micros started{};      // 0: long ago
-        bool draining = false;
     };
     struct ForwarderSlot {
         ForwarderPlan plan;
@@ -90,11 +97,30 @@
     };
     void later(Micros delay, std::function<void()> what);
 
-    void add_worker(int k);
+    void open_script();
+    void open_given();
+    void add_clients(const std::vector<ForwarderPlan>& plans, std::map<std::string, std::vector<standin::Invocation>> traffic);
+    void add_forwarder(const ForwarderPlan& plan);
+    void add_governor(std::size_t k);
+    std::vector<standin::ClientSettings::GivesUp> gives_up() const;
+    standin::WorkerSettings draw_worker(std::size_t k) const;
+
+    void make(Move move);
+    void apply(const Move& move);
+    void apply_to_worker(const Move& move);
+    void apply_to_forwarder(const Move& move);
+    void show_old_list(bool on, double seconds_back);
+    void pace_channels(double slower);
+    std::size_t worker_called(const std::string& id) const;
+    std::size_t forwarder_called(const std::string& id) const;
+    std::size_t governor_called(const std::string& id) const;
+
+    void add_worker(const standin::WorkerSettings& settings);
     void start_worker(std::size_t k, bool cold);
+    void put_on_list(std::size_t k, bool draining);
     void stop_worker(std::size_t k, bool unlisted);
     void bring_back(std::size_t k, bool unlisted);
-    void list_worker(std::size_t k, Micros delay);
+    void list_worker(std::size_t k, Micros delay, bool draining = false);
     void start_forwarder(std::size_t k);
     void start_governor(std::size_t k);
     void stop_governor(std::size_t k);
@@ -103,6 +129,10 @@
     std::vector<std::size_t> struck_workers(const Trouble& trouble);
     std::vector<std::size_t> struck_forwarders(const Trouble& trouble);
     void strike(const Trouble& trouble);
+    void strike_forwarders(const Trouble& trouble);
+    void lose_zone(const Trouble& trouble);
+    void crash_governor(std::size_t k, Micros lasts);
+    void trouble_worker(std::size_t k, const std::function<void(standin::WorkerTrouble&)>& change);
     void strike_workers(const Trouble& trouble);
     void each_worker(const Trouble& trouble, const std::function<void(standin::WorkerTrouble&, bool on)>& change);
     void flap(const Trouble& trouble, std::size_t k, Micros end, std::shared_ptr<base::Chance> chance);
@@ -111,6 +141,8 @@
 
     net::Loop& loop_;
     const DayScript& script_;
+    const GivenWorld* given_;
+    bool opening_ = false;
     log::Log& log_;
     Watchers watchers_;
     DayWeather weather_;
--- a/src/governor/service.cpp
+++ b/src/governor/service.cpp
@@ -85,6 +85,22 @@
     // As when the process dies: all connections break at once, while what their callbacks touch still stands.
     stopping_ = true;
     server_.close(false);
+    if (watcher_) watcher_->stopped(clock_.now(), *this);
+}
+
+void Service::watch(Watcher& watcher) {
+    watcher_ = &watcher;
+    watcher_->started(clock_.now(), *this);
+}
+
+std::string Service::forwarder_name(ProxyId proxy) const {
+    const auto it = proxy_names_.find(proxy);
+    return it == proxy_names_.end() ? std::string{} : it->second;
+}
+
+std::string Service::server_name(ServerId server) const {
+    const auto it = server_names_.find(server);
+    return it == server_names_.end() ? std::string{} : it->second;
 }
 
 void Service::stop() {
@@ -340,6 +356,7 @@
 // ---- the module
 
 void Service::tell(const Event& event) {
+    if (watcher_) watcher_->told(clock_.now(), *this, event);
     module_.take(clock_.now(), event);
     if (!decide_.set()) decide_.after(config_.batch, [this] { decide(); });
 }
@@ -360,6 +377,7 @@
     ++figures_.decisions;
     auto actions = module_.decide(clock_.now());
     if (tamper) tamper(clock_.now(), actions);
+    if (watcher_ && !actions.empty()) watcher_->decided(clock_.now(), *this, actions);
     carry_out(std::move(actions));
 }
 
--- a/src/governor/service.h
+++ b/src/governor/service.h
@@ -13,6 +13,7 @@
 #include "config/governor_config.h"
 #include "governor/registry_watch.h"
 #include "governor/reports.h"
+#include "governor/watcher.h"
 #include "log/log.h"
 #include "logic.h"
 #include "net/grpc.h"
@@ -49,6 +50,13 @@
     std::optional<ServerId> server_id(const std::string& id) const;
 
     Figures figures() const;
+    // Hears from now on; must outlive the service.
+    void watch(Watcher& watcher);
+    const std::string& id() const { return config_.id; }
+    const std::string& life() const { return life_; }
+    // Names behind the module's numbers; empty where there is none.
+    std::string forwarder_name(ProxyId proxy) const;
+    std::string server_name(ServerId server) const;
     // For measurements alone: a listed server without a registry; the full table laid and everyone bound to it with
     // this weight on each line.
     void list_for_trial(const ListedServer& listed);
@@ -119,6 +127,7 @@
     std::set<std::string> told_unknown_;
     base::Timer decide_, channel_timer_, tick_, period_;
     Figures figures_;
+    Watcher* watcher_ = nullptr;
     Micros exhausted_told_{};
     bool stopping_ = false;
 };
--- a/src/standin/forwarder.cpp
+++ b/src/standin/forwarder.cpp
@@ -9,6 +9,10 @@
 using namespace std::chrono_literals;
 using How = net::HttpOutcome::How;
 
+namespace {
+constexpr std::uint64_t kShareLuck = 0x5348415245;  // sets this draw apart from the picks
+}
+
 Forwarder::Forwarder(net::Loop& loop, base::ActorId actor, ForwarderSettings settings, std::uint64_t seed,
                      Observer* observer, std::map<net::Address, std::string> const* server_names)
     : loop_(loop), actor_(actor), settings_(std::move(settings)), observer_(observer), server_names_(server_names),
@@ -198,7 +202,7 @@
 }
 
 bool Forwarder::let_in(const std::string& path, const xds::ClientRoute& route, std::uint64_t invocation) {
-    if (route.share < 1 && base::Chance(luck_, "share/" + std::to_string(invocation)).part() >= route.share) return false;
+    if (route.share < 1 && base::Luck(luck_ ^ kShareLuck, invocation).part() >= route.share) return false;
     if (route.rate <= 0) return true;
     Bucket& bucket = buckets_[path];
     const Micros now = loop_.clock().now();
@@ -248,7 +252,7 @@
     attempt(key);
 }
 
-const xds::TableLine* Forwarder::pick(const xds::ClientTable& table, const std::set<net::Address>& not_these) {
+const xds::TableLine* Forwarder::pick(const xds::ClientTable& table, const std::set<net::Address>& not_these, base::Luck luck) {
     const Micros now = loop_.clock().now();
     std::vector<const xds::TableLine*> open, good;
     for (const auto& line : table.lines) {
@@ -262,7 +266,7 @@
     double sum = 0;
     for (const auto* line : from) sum += line->weight;
     const auto draw = [&] {
-        double at = chance_.part() * sum;
+        double at = luck.part() * sum;
         for (const auto* line : from)
             if ((at -= line->weight) < 0) return line;
         return from.back();
@@ -286,7 +290,7 @@
     Work& work = works_.at(id);
     const Micros now = loop_.clock().now();
     const xds::ClientTable* table = table_for(work);
-    const xds::TableLine* line = table ? pick(*table, work.tried) : nullptr;
+    const xds::TableLine* line = table ? pick(*table, work.tried, base::Luck(luck_ + static_cast<std::uint64_t>(work.tries), work.invocation)) : nullptr;
     if (!line) {
         net::HttpMessage none;
         none.status = 503;
--- a/src/standin/forwarder.h
+++ b/src/standin/forwarder.h
@@ -88,7 +88,7 @@
     void take(const net::HttpExchangePtr& exchange);
     bool let_in(const std::string& path, const xds::ClientRoute& route, std::uint64_t invocation);
     const xds::ClientTable* table_for(const Work& work) const;
-    const xds::TableLine* pick(const xds::ClientTable& table, const std::set<net::Address>& not_these);
+    const xds::TableLine* pick(const xds::ClientTable& table, const std::set<net::Address>& not_these, base::Luck luck);
     void attempt(std::uint64_t id);
     void attempted(std::uint64_t id, net::HttpOutcome outcome, Micros sent);
     void finish(std::uint64_t id, net::HttpMessage response);
