--- a/src/base/real_clock.cpp
+++ b/src/base/real_clock.cpp
@@ -4,15 +4,18 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cmath>
 #include <ctime>
 #include <fstream>
 
 namespace badgergrade::base {
 
-RealClock::RealClock(asio::io_context& io) : timer_(io), begin_(std::chrono::steady_clock::now()) {}
+RealClock::RealClock(asio::io_context& io, double speed)
+    : timer_(io), begin_(std::chrono::steady_clock::now()), speed_(speed) {}
 
 Micros RealClock::now() const {
-    return std::chrono::duration_cast<Micros>(std::chrono::steady_clock::now() - begin_) + std::chrono::seconds(1000);
+    const auto passed = std::chrono::duration_cast<Micros>(std::chrono::steady_clock::now() - begin_);
+    return (speed_ == 1 ? passed : Micros(std::llround(static_cast<double>(passed.count()) * speed_))) + std::chrono::seconds(1000);
 }
 
 TimerQueue::Key RealClock::at(ActorId actor, Micros when, std::function<void()> what) {
@@ -25,7 +28,8 @@
     const auto next = queue_.next();
     if (!next || (armed_ && *armed_ <= *next)) return;
     armed_ = next;
-    timer_.expires_at(begin_ + (*next - std::chrono::seconds(1000)));
+    const Micros wait = *next - std::chrono::seconds(1000);
+    timer_.expires_at(begin_ + (speed_ == 1 ? wait : Micros(std::llround(static_cast<double>(wait.count()) / speed_))));
     timer_.async_wait([this](const asio::error_code& wrong) {
         if (!wrong) fire();
     });
--- a/src/base/real_clock.h
+++ b/src/base/real_clock.h
@@ -10,7 +10,7 @@
 
 class RealClock final : public Clock {
 public:
-    explicit RealClock(asio::io_context& io);
+    explicit RealClock(asio::io_context& io, double speed = 1);
     Micros now() const override;
     TimerQueue::Key at(ActorId actor, Micros when, std::function<void()> what) override;
     void cancel(const TimerQueue::Key& key) override { queue_.cancel(key); }
@@ -21,6 +21,7 @@
 
     asio::steady_timer timer_;
     std::chrono::steady_clock::time_point begin_;
+    double speed_;
     TimerQueue queue_;
     std::optional<Micros> armed_;
 };
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -30,5 +30,6 @@
 void add_check_config(CLI::App& app, Command& chosen);
 void add_standin(CLI::App& app, Command& chosen);
 void add_day(CLI::App& app, Command& chosen);
+void add_replay(CLI::App& app, Command& chosen);
 
 }  // namespace badgergrade::cli
--- a/src/cli/day.cpp
+++ b/src/cli/day.cpp
@@ -3,12 +3,13 @@
 
 #include "cli/cli.h"
 #include "day/runner.h"
+#include "replay/recorder.h"
 
 namespace badgergrade::cli {
 namespace {
 
 struct Args {
-    std::string script, json, log = "off";
+    std::string script, json, record, log = "off";
     bool real = false, quiet = false;
     std::uint64_t seed = 0;
     int runs = 1;
@@ -27,6 +28,30 @@
     throw Failure(kBadSettings, path + ": " + std::to_string(mistakes.size()) + (mistakes.size() == 1 ? " mistake" : " mistakes"));
 }
 
+day::DayRun record_day(const day::DayScript& script, day::DayOptions options, const std::string& path) {
+    std::unique_ptr<record::Writer> writer;
+    std::unique_ptr<replay::Recorder> recorder;
+    record::WriterOptions how;
+    // The virtual clock can wait for the disk; the real one can't.
+    how.when_full = options.clock == day::ClockKind::Virtual ? record::WhenFull::Wait : record::WhenFull::Lose;
+    options.prepare = [&](base::Micros begin) {
+        try {
+            writer = std::make_unique<record::Writer>(record::file_sink(path), replay::header_of(script, begin), how);
+        } catch (const std::runtime_error& wrong) {
+            throw Failure(kNoFile, wrong.what());
+        }
+        recorder = std::make_unique<replay::Recorder>(*writer);
+        return std::vector<standin::Observer*>{recorder.get()};
+    };
+    options.before = [&](day::World& world) { recorder->follow(world); };
+    auto result = day::run_day(script, options);
+    writer->finish();
+    const auto figures = writer->figures();
+    if (!figures.failed.empty()) throw Failure(kNoFile, figures.failed);
+    result.machine["recorded"] = {{"records", figures.records}, {"bytes", figures.bytes}, {"lost", figures.lost}};
+    return result;
+}
+
 int run(const Args& args) {
     auto script = load_day(args.script);
     if (args.seed > 0) script.seed = args.seed;
@@ -37,7 +62,7 @@
     bool broken = false, differs = false;
     std::string first;
     for (int n = 0; n < args.runs; ++n) {
-        const auto result = day::run_day(script, options);
+        const auto result = n == 0 && !args.record.empty() ? record_day(script, options, args.record) : day::run_day(script, options);
         const std::string text = result.result.dump(1);
         if (n == 0) first = text;
         differs = differs || text != first;
@@ -68,6 +93,7 @@
     sub->add_option("--clock", *clock, "real or virtual")->check(CLI::IsMember({"real", "virtual"}))->capture_default_str();
     sub->add_option("--seed", args->seed, "In place of the script's");
     sub->add_option("--json", args->json, "Write the figures here");
+    sub->add_option("--record", args->record, "Record the first run here");
     sub->add_option("--runs", args->runs, "Play it so often and compare")->check(CLI::Range(1, 1000));
     sub->add_option("--log", args->log, "off, warning, info or debug")->check(CLI::IsMember({"off", "warning", "info", "debug"}))->capture_default_str();
     sub->add_flag("--quiet", args->quiet, "No text");
--- /dev/null
+++ b/src/cli/replay.cpp
@@ -0,0 +1,190 @@
+#include <cstdio>
+#include <fstream>
+
+#include "cli/cli.h"
+#include "replay/play.h"
+#include "replay/recorder.h"
+
+namespace badgergrade::cli {
+namespace {
+
+struct Args {
+    std::string file, json, config, from, to, clock = "virtual";
+    std::vector<std::string> sets;
+    double speed = 1;
+    std::uint64_t seed = 0;
+    int runs = 1;
+};
+
+std::string seconds(base::Micros t) {
+    char text[32];
+    std::snprintf(text, sizeof text, "%.3f s", static_cast<double>(t.count()) / 1e6);
+    return text;
+}
+
+record::Reader open_recording(const std::string& path) {
+    try {
+        return record::Reader(path);
+    } catch (const std::runtime_error& wrong) {
+        throw Failure(kNoFile, wrong.what());
+    }
+}
+
+replay::RecordedDay load(const std::string& path) {
+    try {
+        return replay::load_recording(path);
+    } catch (const std::runtime_error& wrong) {
+        throw Failure(kNoFile, wrong.what());
+    }
+}
+
+// What is wrong with a recording is told, and does not end the command: it is played as far as it goes.
+void warn_of_damage(const replay::RecordedDay& day) {
+    for (const auto& damage : day.damage)
+        std::fprintf(stderr, "%s: byte %llu: %s\n", day.path.c_str(), static_cast<unsigned long long>(damage.at), damage.what.c_str());
+    if (day.lost > 0) std::fprintf(stderr, "%s: %llu records were lost while it was recorded\n", day.path.c_str(), static_cast<unsigned long long>(day.lost));
+}
+
+void write_json(const std::string& path, const nlohmann::ordered_json& what) {
+    std::ofstream out(path);
+    out << what.dump(1) << "\n";
+    if (!out.flush()) throw Failure(kNoFile, path + ": can't be written");
+}
+
+base::Micros time_of(const std::string& text, const char* what) {
+    if (text.empty()) return base::Micros{0};
+    std::string why;
+    const auto out = config::parse_time(text, why);
+    if (!out) throw Failure(kBadSettings, std::string(what) + ": " + why);
+    return *out;
+}
+
+void end_where_wrong(const std::vector<config::Mistake>& mistakes) {
+    if (mistakes.empty()) return;
+    for (const auto& mistake : mistakes) std::fprintf(stderr, "%s\n", config::to_text(mistake).c_str());
+    throw Failure(kBadSettings, std::to_string(mistakes.size()) + (mistakes.size() == 1 ? " mistake" : " mistakes") + "; nothing was played");
+}
+
+int info(const std::string& path) {
+    const auto reader = open_recording(path);
+    const auto& header = reader.header();
+    std::printf("%s: recorded by %s, format %u, seed %llu%s%s\n", path.c_str(), header.made_by().c_str(), header.format(),
+                static_cast<unsigned long long>(header.seed()), header.wall_begin().empty() ? "" : ", begun ", header.wall_begin().c_str());
+    std::uint64_t records = 0, lost = 0;
+    base::Micros last{};
+    for (const auto& block : reader.blocks()) records += block.records, lost += block.lost, last = std::max(last, block.last);
+    std::printf("%llu bytes, %zu blocks, %llu records over %s, %llu lost while recording, %s\n", static_cast<unsigned long long>(reader.bytes()),
+                reader.blocks().size(), static_cast<unsigned long long>(records), seconds(last).c_str(), static_cast<unsigned long long>(lost),
+                reader.finished() ? "ended in order" : "not ended in order");
+    if (header.script().empty()) return kGood;
+    const auto day = load(path);
+    warn_of_damage(day);
+    for (const auto& [kind, count] : day.kinds) std::printf("  %-14s %llu\n", kind.c_str(), static_cast<unsigned long long>(count));
+    if (day.invocations > 0)
+        std::printf("%.1f bytes an invocation, all records counted in\n", static_cast<double>(reader.bytes()) / static_cast<double>(day.invocations));
+    std::printf("service as recorded: %.4f, worst 10 s %.4f\n", day.figures["whole_day"]["service"].get<double>(), day.figures["worst_10_s"].get<double>());
+    for (const auto& trouble : day.troubles)
+        std::printf("  at %s %s%s\n", seconds(trouble.at).c_str(), trouble.text.c_str(), trouble.lasts > base::Micros{0} ? (" for " + seconds(trouble.lasts)).c_str() : "");
+    return kGood;
+}
+
+int verify(const std::string& path) {
+    auto reader = open_recording(path);
+    reader.scan();
+    std::uint64_t records = 0;
+    base::Micros last{};
+    for (const auto& block : reader.blocks()) records += block.records, last = std::max(last, block.last);
+    for (const auto& damage : reader.damage())
+        std::printf("%s: byte %llu: %s\n", path.c_str(), static_cast<unsigned long long>(damage.at), damage.what.c_str());
+    std::printf("%s: %zu whole blocks, %llu records to %s, %s\n", path.c_str(), reader.blocks().size(), static_cast<unsigned long long>(records),
+                seconds(last).c_str(), reader.damage().empty() ? "all of it whole" : "DAMAGED");
+    return reader.damage().empty() ? kGood : kRuleBroken;
+}
+
+replay::Trial trial_of(const replay::RecordedDay& day, const std::string& config, const std::vector<std::string>& texts) {
+    std::vector<config::Mistake> mistakes;
+    std::optional<config::IniFile> file;
+    if (!config.empty()) try {
+        file = config::IniFile::load(config, mistakes);
+    } catch (const std::runtime_error& wrong) {
+        throw Failure(kNoFile, wrong.what());
+    }
+    replay::Sets sets;
+    for (const auto& text : texts) {
+        const auto set = replay::read_set(text);
+        if (!set) throw Failure(kBadSettings, "--set " + text + ": is no section.key=value; for example: --set reports.period=\"1 s\"");
+        sets.push_back(*set);
+    }
+    auto out = replay::read_trial(day, file, sets, mistakes);
+    end_where_wrong(mistakes);
+    return out;
+}
+
+int run(const Args& args) {
+    const auto day = load(args.file);
+    warn_of_damage(day);
+    const auto trial = trial_of(day, args.config, args.sets);
+    replay::PlayOptions options;
+    options.clock = args.clock == "real" ? day::ClockKind::Real : day::ClockKind::Virtual;
+    if (args.speed != 1 && options.clock == day::ClockKind::Virtual) throw Failure(kBadSettings, "--speed says something only with --clock real");
+    options.speed = args.speed;
+    if (args.seed > 0) options.seed = args.seed;
+    options.from = time_of(args.from, "--from"), options.to = time_of(args.to, "--to");
+    bool broken = false, differs = false;
+    std::string first;
+    for (int n = 0; n < args.runs; ++n) {
+        replay::Played played;
+        try {
+            played = replay::play(day, trial, options);
+        } catch (const std::runtime_error& wrong) {
+            throw Failure(kBadSettings, wrong.what());
+        }
+        const std::string text = played.run.result.dump(1);
+        broken = broken || !played.run.breaks.empty();
+        if (n > 0) {
+            differs = differs || text != first;
+            continue;
+        }
+        first = text;
+        std::vector<config::Mistake> none;
+        std::printf("setting: %s\n%s", trial.name.c_str(), day::to_text(replay::make_playable(day, trial, none).script, played.run).c_str());
+        std::printf("as recorded: service %.4f, worst 10 s %.4f\n", day.figures["whole_day"]["service"].get<double>(), day.figures["worst_10_s"].get<double>());
+        if (args.json.empty()) continue;
+        auto all = played.run.result;
+        all["setting"] = trial.name;
+        all["recorded"] = day.figures;
+        all["machine"] = played.run.machine;
+        write_json(args.json, all);
+    }
+    if (args.runs > 1) std::printf("%d runs: %s\n", args.runs, differs ? "they DIFFER" : "the same to the byte");
+    return broken || (differs && args.clock == "virtual") ? kRuleBroken : kGood;
+}
+
+}  // namespace
+
+void add_replay(CLI::App& app, Command& chosen) {
+    auto* replay = app.add_subcommand("replay", "Recorded days: what is in them, and how they would go under other settings");
+    replay->require_subcommand(1);
+    const auto args = std::make_shared<Args>();
+    const auto simple = [&](const char* name, const char* what, int (*command)(const std::string&)) {
+        auto* sub = replay->add_subcommand(name, what);
+        sub->add_option("FILE", args->file, "The recording")->required();
+        sub->callback([args, command, &chosen] { chosen = [args, command] { return command(args->file); }; });
+    };
+    simple("info", "What is in a recording, when, and which troubles", &info);
+    simple("verify", "Read all of it; say where a damaged one breaks (exit 1)", &verify);
+    auto* sub = replay->add_subcommand("run", "Play it again; exit 1 where a rule was broken");
+    sub->add_option("FILE", args->file, "The recording")->required();
+    sub->add_option("--set", args->sets, "section.key=value, or replay.workers=+10%, replay.traffic=1.2, replay.startup=5")->take_all();
+    sub->add_option("--config", args->config, "Settings (INI), whole or those that change");
+    sub->add_option("--from", args->from, "Count from here, as 20s");
+    sub->add_option("--to", args->to, "... to here");
+    sub->add_option("--clock", args->clock, "real or virtual")->check(CLI::IsMember({"real", "virtual"}))->capture_default_str();
+    sub->add_option("--speed", args->speed, "The real clock so many times faster")->check(CLI::Range(0.1, 100.0));
+    sub->add_option("--seed", args->seed, "Another luck in the same world");
+    sub->add_option("--runs", args->runs, "Play it so often and compare")->check(CLI::Range(1, 1000));
+    sub->add_option("--json", args->json, "Write the figures here");
+    sub->callback([args, &chosen] { chosen = [args] { return run(*args); }; });
+}
+
+}  // namespace badgergrade::cli
--- a/src/day/figures.cpp
+++ b/src/day/figures.cpp
@@ -50,11 +50,13 @@
     return values[at];
 }
 
-Figures::Figures(const DayScript& script, Micros begin, std::map<std::string, std::string> zone_of_forwarder)
+Figures::Figures(const DayScript& script, Micros begin, Micros length, std::map<std::string, std::string> zone_of_forwarder)
     : script_(script), begin_(begin), zones_(std::move(zone_of_forwarder)), by_operation_(script.operations.size()),
-      by_second_(static_cast<std::size_t>(script.length.count() / 1000000 + 1)) {}
+      by_second_(static_cast<std::size_t>(std::max<std::int64_t>(0, length.count()) / 1000000 + 1)) {}
 
-void Figures::invocation_came(Micros, const standin::Invocation& what) { open_[what.id] = what; }
+void Figures::invocation_came(Micros now, const standin::Invocation& what) {
+    if (now >= begin_) open_[what.id] = what;
+}
 void Figures::client_try(Micros, const standin::Invocation&) { ++client_tries_; }
 
 void Figures::invocation_ended(Micros now, const standin::Invocation& what, standin::Result result) {
--- a/src/day/figures.h
+++ b/src/day/figures.h
@@ -20,7 +20,8 @@
 
 class Figures final : public standin::Observer {
 public:
-    Figures(const DayScript& script, Micros begin, std::map<std::string, std::string> zone_of_forwarder);
+    // Counts the invocations that come from `begin` on, by seconds over `length`.
+    Figures(const DayScript& script, Micros begin, Micros length, std::map<std::string, std::string> zone_of_forwarder);
 
     void invocation_came(Micros, const standin::Invocation&) override;
     void client_try(Micros, const standin::Invocation&) override;
@@ -37,6 +38,8 @@
     void took_effect(Micros, const std::string& server, std::uint64_t invocation, int operation) override;
     void list_told(Micros, const std::string& governor, const governor::ServerList& list) override;
 
+    // Where a forwarder stands, learnt later.
+    void place(const std::string& forwarder, const std::string& zone) { zones_[forwarder] = zone; }
     // Ends what clients still wait for at the day's end: counted as timed out.
     void close();
     const Service& whole() const { return whole_; }
--- a/src/day/moves.h
+++ b/src/day/moves.h
@@ -33,6 +33,7 @@
     GarbleRegistry = 19,    // text: what it answers instead; empty: itself again
     ShowOldList = 20,       // on; by: seconds back
     GiveUp = 21,            // by: part of the integration timeout; wait: how long this lasts
+    AddForwarder = 22,      // who, text: its zone, by: invocations a second
 };
 
 struct Move {
@@ -55,7 +56,6 @@
 // A world that is told rather than drawn from a script.
 struct GivenWorld {
     std::vector<TimedMove> moves;  // in the order in which they were made
-    std::vector<ForwarderPlan> forwarders;
     std::map<std::string, std::vector<standin::Invocation>> traffic;  // by forwarder, times since the day's begin
 };
 
--- a/src/day/runner.cpp
+++ b/src/day/runner.cpp
@@ -33,7 +33,7 @@
 
 DayRun run_day(const DayScript& script, const DayOptions& options) {
     const bool is_virtual = options.clock == ClockKind::Virtual;
-    std::unique_ptr<net::Loop> loop = is_virtual ? std::make_unique<net::Loop>(std::chrono::seconds(kBegin)) : std::make_unique<net::Loop>();
+    std::unique_ptr<net::Loop> loop = is_virtual ? std::make_unique<net::Loop>(std::chrono::seconds(kBegin)) : std::make_unique<net::Loop>(options.speed);
     loop->keeps_ledger = true;
     log::Log log = is_virtual ? log::Log(loop->clock(), options.log, options.log_form, [](const std::string& line) { std::fprintf(stderr, "%s\n", line.c_str()); })
                               : log::Log(loop->clock(), options.log, options.log_form);
@@ -43,12 +43,14 @@
     const Micros real_before = real.now();
 
     Auditor auditor(loop->clock(), script.governor);
-    Figures figures(script, clock.now(), World::forwarder_zones(script));
+    Figures figures(script, clock.now() + options.count_from, script.length - options.count_from, World::forwarder_zones(script, options.given));
     std::vector<standin::Observer*> watchers{&auditor, &figures};
     watchers.insert(watchers.end(), options.watchers.begin(), options.watchers.end());
+    if (options.prepare)
+        for (auto* watcher : options.prepare(clock.now())) watchers.push_back(watcher);
     DayRun run;
     {
-        World world(*loop, script, log, watchers);
+        World world(*loop, script, log, watchers, options.given);
         world.on_slow_channel = [&](double slower) { auditor.stretch(slower); };
         if (options.before) options.before(world);
         world.start();
--- a/src/day/script.cpp
+++ b/src/day/script.cpp
@@ -277,6 +277,7 @@
                        std::vector<Mistake>& mistakes) {
     DayScript day;
     day.name = std::filesystem::path(name).stem().string();
+    day.text = text;
     day.settings = settings;
     day.client_wait = 100ms, day.key_kept = 5s, day.same_way = 200us, day.cross_way = 600us;
     day.list_gone_us = {1e6, 3e6}, day.list_new_us = {3e5, 2e6}, day.orders_way_us = {2e4, 2e4}, day.redial_us = {6e5, 2e6};
--- a/src/day/script.h
+++ b/src/day/script.h
@@ -68,7 +68,7 @@
 };
 
 struct DayScript {
-    std::string name;
+    std::string name, text;   // the script as read
     std::uint64_t seed = 1;
     Micros length{};
     config::IniFile settings;
--- a/src/day/world.cpp
+++ b/src/day/world.cpp
@@ -25,8 +25,13 @@
 
 }  // namespace
 
-std::map<std::string, std::string> World::forwarder_zones(const DayScript& script) {
+std::map<std::string, std::string> World::forwarder_zones(const DayScript& script, const GivenWorld* given) {
     std::map<std::string, std::string> out;
+    if (given) {
+        for (const TimedMove& move : given->moves)
+            if (move.what.kind == MoveKind::AddForwarder) out[move.what.who] = move.what.text;
+        return out;
+    }
     for (const auto& plan : plan_forwarders(script)) out[plan.id] = plan.zone;
     return out;
 }
@@ -82,22 +87,21 @@
         make({.kind = StartGovernor, .who = governors_[k].name});
     }
     const auto plans = plan_forwarders(script_);
-    for (const auto& plan : plans) add_forwarder(plan);
+    for (const auto& plan : plans) make({.kind = AddForwarder, .who = plan.id, .by = plan.rate, .text = plan.zone});
     for (const auto& plan : plans) make({.kind = StartForwarder, .who = plan.id});
-    add_clients(plans, draw_traffic(script_, plans, begin_));
+    add_clients(draw_traffic(script_, plans, begin_));
     for (const Trouble& trouble : script_.troubles)
         later(trouble.at, [this, &trouble] { strike(trouble); });
 }
 
 void World::open_given() {
     for (std::size_t k = 0; k < static_cast<std::size_t>(script_.governors); ++k) add_governor(k);
-    for (const auto& plan : given_->forwarders) add_forwarder(plan);
     for (const TimedMove& move : given_->moves)
         if (move.opening) make(move.what);
     auto traffic = given_->traffic;
     for (auto& [forwarder, list] : traffic)
         for (auto& one : list) one.came += begin_;
-    add_clients(given_->forwarders, std::move(traffic));
+    add_clients(std::move(traffic));
     for (const TimedMove& move : given_->moves)
         if (!move.opening) later(move.at, [this, &move] { make(move.what); });
 }
@@ -134,16 +138,17 @@
     return out;
 }
 
-void World::add_clients(const std::vector<ForwarderPlan>& plans, std::map<std::string, std::vector<standin::Invocation>> traffic) {
+void World::add_clients(std::map<std::string, std::vector<standin::Invocation>> traffic) {
     standin::ClientSettings clients;
     clients.retries = script_.client_retries, clients.wait = script_.client_wait, clients.try_share = script_.client_try_share;
     clients.operations = script_.governor.told.operations;
     clients.gives_up = gives_up();
-    for (std::size_t k = 0; k < plans.size(); ++k) {
+    for (std::size_t k = 0; k < forwarders_.size(); ++k) {
+        ForwarderSlot& slot = forwarders_[k];
         const std::string client = numbered("client", k);
-        weather_.place(client, plans[k].zone);
-        forwarders_[k].client = std::make_unique<standin::Client>(loop_, actor(kClients, k), client, clients, forwarders_[k].port->address(),
-                                                                  std::move(traffic[plans[k].id]), &watchers_);
+        weather_.place(client, slot.plan.zone);
+        slot.client = std::make_unique<standin::Client>(loop_, actor(kClients, k), client, clients, slot.port->address(),
+                                                        std::move(traffic[slot.plan.id]), &watchers_);
     }
 }
 
@@ -177,6 +182,7 @@
     using enum MoveKind;
     switch (move.kind) {
         case AddWorker: return add_worker(move.worker);
+        case AddForwarder: return add_forwarder({move.who, move.text, 1, move.by});
         case StartWorker:
         case StopWorker:
         case ListWorker:
--- a/src/day/world.h
+++ b/src/day/world.h
@@ -55,7 +55,8 @@
     ~World();
 
     Micros begin() const { return begin_; }
-    static std::map<std::string, std::string> forwarder_zones(const DayScript& script);
+    // Zones by forwarder.
+    static std::map<std::string, std::string> forwarder_zones(const DayScript& script, const GivenWorld* given);
 
     // For tests: changes what governors decided before it is carried out, and what forwarders do.
     std::function<void(int governor, governor::Service&, Micros, std::vector<Action>&)> tamper;
@@ -99,7 +100,7 @@
 
     void open_script();
     void open_given();
-    void add_clients(const std::vector<ForwarderPlan>& plans, std::map<std::string, std::vector<standin::Invocation>> traffic);
+    void add_clients(std::map<std::string, std::vector<standin::Invocation>> traffic);
     void add_forwarder(const ForwarderPlan& plan);
     void add_governor(std::size_t k);
     std::vector<standin::ClientSettings::GivesUp> gives_up() const;
--- a/src/net/network.cpp
+++ b/src/net/network.cpp
@@ -58,7 +58,7 @@
     return (v6 ? "[" + address.host + "]" : address.host) + ":" + std::to_string(address.port);
 }
 
-Loop::Loop() : work_(asio::make_work_guard(io_)), clock_(std::make_unique<base::RealClock>(io_)) {}
+Loop::Loop(double speed) : work_(asio::make_work_guard(io_)), clock_(std::make_unique<base::RealClock>(io_, speed)) {}
 
 Loop::Loop(Micros begin) : work_(asio::make_work_guard(io_)) {
     auto clock = std::make_unique<base::VirtualClock>(begin);
--- a/src/net/network.h
+++ b/src/net/network.h
@@ -42,8 +42,8 @@
 
 class Loop {
 public:
-    // Real time.
-    Loop();
+    // Real time, or time that runs so many times faster.
+    explicit Loop(double speed = 1);
     // Virtual time: `until` is reached by run_until only, as fast as the work allows.
     explicit Loop(Micros begin);
     ~Loop();
--- /dev/null
+++ b/src/replay/play.h
@@ -0,0 +1,87 @@
+// Plays a recorded day again through governors on loopback sockets, and keeps what is needed to compare runs.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "day/runner.h"
+#include "governor/watcher.h"
+#include "replay/trial.h"
+
+namespace badgergrade::replay {
+
+// What the governors heard and decided, in order. Beats of the module are left out.
+class Trail final : public governor::Watcher {
+public:
+    struct Step {
+        Micros at{};
+        std::string governor;
+        bool decision = false;  // else something heard
+        std::string text;
+        friend bool operator==(const Step&, const Step&) = default;
+    };
+    explicit Trail(Micros begin = {}) : begin_(begin) {}
+    void told(Micros, const governor::Service&, const Event&) override;
+    void decided(Micros, const governor::Service&, const std::vector<Action>&) override;
+
+    const std::vector<Step>& steps() const { return steps_; }
+    // Past this many bytes of text only times are kept, so that an hour stays in memory.
+    static constexpr std::size_t kTextMost = 256u << 20;
+
+private:
+    void add(Micros now, const governor::Service& service, bool decision, std::string text);
+
+    Micros begin_;
+    std::vector<Step> steps_;
+    std::size_t text_ = 0;
+};
+
+// By seconds of the day: for plots.
+class Series final : public standin::Observer {
+public:
+    struct Second {
+        std::int64_t came = 0, tries = 0, further = 0, pushed_over = 0, joins = 0;
+        double lines = 0, waiting = 0;  // lines applied; most lines that waited in the channels
+    };
+    explicit Series(Micros begin) : begin_(begin) {}
+    void invocation_came(Micros, const standin::Invocation&) override;
+    void try_sent(Micros, const std::string&, const std::string&, std::uint64_t, int, int number, standin::TryEnd) override;
+    void joined(Micros, const std::string&, const std::string&) override;
+    void response_read(Micros, const std::string&, const std::string&, const std::string& orders, std::size_t, const std::string&) override;
+    void server_fell(Micros, const std::string&, const std::vector<Push>&) override;
+
+    // With the waiting lines reckoned from when orders were given and when they left.
+    std::vector<Second> seconds(Micros length) const;
+
+private:
+    Second& at(Micros now);
+    Micros begin_;
+    std::vector<Second> seconds_;
+    std::map<std::string, std::map<Micros, double>> moves_;  // by governor: lines that began to wait or left
+};
+
+struct PlayOptions {
+    day::ClockKind clock = day::ClockKind::Virtual;
+    double speed = 1;
+    std::optional<std::uint64_t> seed;
+    Micros from{}, to{};          // to 0: to its end
+    log::Level log = log::Level::Off;
+    // Taken beside, as by a recorder.
+    std::function<void(day::World&)> before;
+    std::vector<standin::Observer*> watchers;
+};
+// Traffic sets in so long before `from`, uncounted, so that tables and queues are as at work.
+inline constexpr Micros kLead = std::chrono::seconds(10);
+
+struct Played {
+    day::DayRun run;
+    std::vector<Trail::Step> trail;
+    std::vector<Series::Second> seconds;
+    Micros from{}, to{};
+};
+
+// Throws std::runtime_error for a span that the day does not have.
+Played play(const RecordedDay& day, const Trial& trial, const PlayOptions& options);
+
+}  // namespace badgergrade::replay
--- /dev/null
+++ b/src/replay/recorded_day.cpp
@@ -0,0 +1,181 @@
+#include "replay/recorded_day.h"
+
+#include <sstream>
+#include <stdexcept>
+
+#include "replay/recorder.h"
+
+namespace badgergrade::replay {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+const char* kind_of(const pb::Record& record) {
+    switch (record.what_case()) {
+        case pb::Record::kCame: return "invocations";
+        case pb::Record::kEnded: return "results";
+        case pb::Record::kTried: return "tries";
+        case pb::Record::kJoined: return "joins";
+        case pb::Record::kLeft: return "breaks";
+        case pb::Record::kMove: return "moves";
+        case pb::Record::kTold: return "events";
+        case pb::Record::kDecided: return "decisions";
+        case pb::Record::kStarted:
+        case pb::Record::kStopped: return "lives";
+        case pb::Record::kTrouble: return "troubles";
+        case pb::Record::kRead: return "responses";
+        case pb::Record::kBroken: return "broken rules";
+        case pb::Record::WHAT_NOT_SET: break;
+    }
+    return "unknown";
+}
+
+standin::WorkerSettings worker_of(const std::string& id, const pb::Worker& w) {
+    standin::WorkerSettings s;
+    s.id = id, s.zone = w.zone(), s.cores = w.cores(), s.speed = w.speed(), s.queue_per_core = w.queue_per_core();
+    s.cold_from = w.cold_from(), s.cold_time = Micros(w.cold_time_us()), s.fall_time = Micros(w.fall_time_us());
+    s.fall_multiple = w.fall_multiple(), s.connections_most = w.connections_most(), s.handshake_work = Micros(w.handshake_work_us());
+    s.key_gain = w.key_gain(), s.key_time = Micros(w.key_time_us()), s.reports_load = w.reports_load();
+    s.report_every = Micros(w.report_every_us()), s.error_rate = w.error_rate();
+    return s;
+}
+
+standin::WorkerTrouble trouble_of(const pb::WorkerTrouble& t) {
+    standin::WorkerTrouble out;
+    out.hangs = t.hangs(), out.errors = t.errors(), out.slower = t.slower(), out.taken = t.taken();
+    out.answers_lost = t.answers_lost(), out.counters = t.counters();
+    out.connections_most = static_cast<std::size_t>(t.connections_most());
+    return out;
+}
+
+// Builds the day out of its records, in their order.
+class Builder {
+public:
+    Builder(RecordedDay& day, const day::DayScript& script)
+        : day_(day), script_(script), figures_(script, 0us, script.length, {}) {}
+
+    void take(const pb::Block& block) {
+        names_ = &block.names();
+        last_id_ = 0;
+        Micros at(block.first_us());
+        for (const auto& record : block.records()) {
+            at += Micros(record.after_us());
+            ++day_.kinds[kind_of(record)];
+            ++day_.records;
+            take(at, record);
+        }
+    }
+    void close() {
+        figures_.close();
+        day_.figures = figures_.json();
+    }
+
+private:
+    std::string name(std::uint32_t number) const {
+        return number == 0 || number > static_cast<std::uint32_t>(names_->size()) ? std::string{} : names_->Get(static_cast<int>(number) - 1);
+    }
+    void take(Micros at, const pb::Record& record) {
+        if (record.has_move()) return move(at, record.move());
+        if (record.has_came()) return came(at, record.came());
+        if (record.has_ended()) return ended(at, record.ended());
+        if (record.has_trouble()) {
+            const auto& t = record.trouble();
+            day_.troubles.push_back({at, Micros(t.lasts_us()), t.name() + (t.whom().empty() ? "" : " " + t.whom())});
+        }
+        if (record.has_tried())
+            figures_.try_sent(at, {}, {}, 0, 0, static_cast<int>(record.tried().number()), {});
+    }
+    void move(Micros at, const pb::Move& from) {
+        day::TimedMove out;
+        out.at = at, out.opening = from.opening();
+        day::Move& m = out.what;
+        m.kind = static_cast<day::MoveKind>(from.kind());
+        m.who = name(from.who()), m.on = from.on(), m.by = from.by(), m.wait = Micros(from.wait_us()), m.text = from.text();
+        if (from.has_trouble()) m.trouble = trouble_of(from.trouble());
+        if (from.has_worker()) m.worker = worker_of(m.who, from.worker());
+        if (m.kind == day::MoveKind::AddForwarder) figures_.place(m.who, m.text);
+        day_.world.moves.push_back(std::move(out));
+    }
+    void came(Micros at, const pb::Came& from) {
+        last_id_ += from.id_more();
+        standin::Invocation one;
+        one.id = static_cast<std::uint64_t>(last_id_), one.operation = static_cast<int>(from.operation());
+        if (one.operation >= static_cast<int>(script_.operations.size()))
+            throw std::runtime_error(day_.path + ": an invocation of operation " + std::to_string(one.operation) + ", which the settings do not name");
+        one.forwarder = name(from.forwarder()), one.key = name(from.key()), one.work = Micros(static_cast<std::int64_t>(from.work_us()));
+        one.came = at;
+        figures_.invocation_came(at, one);
+        ++day_.invocations;
+        open_[one.id] = {one.operation, one.forwarder, at};
+        day_.world.traffic[one.forwarder].push_back(std::move(one));
+    }
+    void ended(Micros at, const pb::Ended& from) {
+        const auto id = static_cast<std::uint64_t>(last_id_ - from.id_less());
+        const auto it = open_.find(id);
+        if (it == open_.end()) return;  // it came in a block that is lost
+        standin::Invocation one;
+        one.id = id, one.operation = it->second.operation, one.forwarder = it->second.forwarder, one.came = it->second.came;
+        for (std::uint32_t n = 0; n < from.client_tries(); ++n) figures_.client_try(at, one);
+        figures_.invocation_ended(at, one, static_cast<standin::Result>(std::min(from.result(), 3u)));
+        open_.erase(it);
+    }
+
+    struct Open {
+        int operation = 0;
+        std::string forwarder;
+        Micros came{};
+    };
+    RecordedDay& day_;
+    const day::DayScript& script_;
+    day::Figures figures_;
+    const google::protobuf::RepeatedPtrField<std::string>* names_ = nullptr;
+    std::int64_t last_id_ = 0;
+    std::map<std::uint64_t, Open> open_;
+};
+
+}  // namespace
+
+std::string without_settings(const std::string& script) {
+    std::istringstream in(script);
+    std::string out;
+    for (std::string line; std::getline(in, line);) {
+        std::istringstream words(line);
+        std::string first;
+        words >> first;
+        // An empty line in its place: lines keep their numbers.
+        out += (first == "settings" || first == "set" ? std::string() : line) + "\n";
+    }
+    return out;
+}
+
+RecordedDay load_recording(const std::string& path) {
+    record::Reader reader(path);
+    RecordedDay out;
+    out.path = path, out.header = reader.header();
+    std::vector<config::Mistake> mistakes;
+    out.settings = config::IniFile::parse(path, out.header.settings(), mistakes);
+    out.script = without_settings(out.header.script());
+    if (out.header.script().empty()) throw std::runtime_error(path + ": holds no day: it was recorded by " + out.header.made_by());
+    auto script = day::parse_script(path, out.script, out.settings, mistakes);
+    if (!mistakes.empty()) throw std::runtime_error(path + ": its settings can't be read: " + config::to_text(mistakes.front()));
+    script.seed = out.header.seed();
+    out.length = Micros(out.header.length_us());
+    Builder builder(out, script);
+    reader.each(Micros::min(), Micros::max(), [&](const pb::Block& block) {
+        builder.take(block);
+        out.lost += block.lost();
+    });
+    builder.close();
+    out.damage = reader.damage();
+    if (!reader.finished() && !reader.blocks().empty()) {
+        // Cut: the day ends where the file does.
+        Micros last{};
+        for (const auto& block : reader.blocks()) last = std::max(last, block.last);
+        out.length = std::min(out.length, last);
+    }
+    if (out.world.moves.empty() || out.invocations == 0) throw std::runtime_error(path + ": holds no day that could be played");
+    return out;
+}
+
+}  // namespace badgergrade::replay
--- /dev/null
+++ b/src/replay/recorder.h
@@ -0,0 +1,66 @@
+// Writes down what passes in a day or at a governor: a watcher of the stand-ins, of the world and of the governors.
+#pragma once
+
+#include <map>
+#include <string>
+#include <utility>
+
+#include "day/script.h"
+#include "day/world.h"
+#include "governor/watcher.h"
+#include "record/writer.h"
+#include "standin/observer.h"
+
+namespace badgergrade::replay {
+
+using base::Micros;
+namespace pb = badgergrade::recording::v1;
+
+// The head of a day's recording, and of a governor's.
+pb::Header header_of(const day::DayScript& script, Micros begin);
+pb::Header header_of(const config::GovernorConfig& config, const std::string& settings, Micros begin, const std::string& wall);
+
+// How a try ended that its forwarder gave up with its client: behind standin::TryEnd's own.
+inline constexpr std::uint32_t kGivenUp = 100;
+
+class Recorder final : public standin::Observer, public governor::Watcher {
+public:
+    explicit Recorder(record::Writer& writer) : writer_(writer) {}
+    // Hears of the moves and troubles of this world; called before it starts.
+    void follow(day::World& world);
+
+    void invocation_came(Micros, const standin::Invocation&) override;
+    void invocation_ended(Micros, const standin::Invocation&, standin::Result) override;
+    void try_sent(Micros, const std::string& forwarder, const std::string& server, std::uint64_t invocation, int operation,
+                  int number, standin::TryEnd before) override;
+    void try_ended(Micros, const std::string& forwarder, const std::string& server, std::uint64_t invocation, standin::TryEnd) override;
+    void joined(Micros, const std::string& forwarder, const std::string& governor) override;
+    void left(Micros, const std::string& forwarder, const std::string& governor) override;
+    void response_read(Micros, const std::string& forwarder, const std::string& governor, const std::string& orders,
+                       std::size_t bytes, const std::string& why) override;
+
+    void started(Micros, const governor::Service&) override;
+    void stopped(Micros, const governor::Service&) override;
+    void told(Micros, const governor::Service&, const Event&) override;
+    void decided(Micros, const governor::Service&, const std::vector<Action>&) override;
+
+private:
+    struct OpenTry {
+        std::string server;
+        Micros sent{};
+        int operation = 0, number = 0;
+    };
+    void moved(Micros now, bool opening, const day::Move& move);
+    void struck(Micros now, const day::Trouble& trouble);
+    void write_try(Micros now, const std::string& forwarder, std::uint64_t invocation, const OpenTry& one, std::uint32_t end);
+
+    record::Writer& writer_;
+    // By invocation and forwarder: what is still on its way.
+    std::map<std::pair<std::uint64_t, std::string>, OpenTry> tries_;
+};
+
+// What the module heard or decided, in words; names as the governor has them.
+std::string to_text(const governor::Service& service, const Event& event);
+std::string to_text(const governor::Service& service, const Action& action);
+
+}  // namespace badgergrade::replay
