--- a/src/cli/replay.cpp
+++ b/src/cli/replay.cpp
@@ -4,13 +4,14 @@
 #include "cli/cli.h"
 #include "replay/play.h"
 #include "replay/recorder.h"
+#include "replay/report.h"
 
 namespace badgergrade::cli {
 namespace {
 
 struct Args {
-    std::string file, json, config, from, to, clock = "virtual";
-    std::vector<std::string> sets;
+    std::string file, json, config, from, to, lead, clock = "virtual";
+    std::vector<std::string> sets, settings, reports;
     double speed = 1;
     std::uint64_t seed = 0;
     int runs = 1;
@@ -130,6 +131,7 @@
     options.speed = args.speed;
     if (args.seed > 0) options.seed = args.seed;
     options.from = time_of(args.from, "--from"), options.to = time_of(args.to, "--to");
+    if (!args.lead.empty()) options.lead = time_of(args.lead, "--lead");
     bool broken = false, differs = false;
     std::string first;
     for (int n = 0; n < args.runs; ++n) {
@@ -160,6 +162,54 @@
     return broken || (differs && args.clock == "virtual") ? kRuleBroken : kGood;
 }
 
+bool ends_with(const std::string& text, const std::string& end) {
+    return text.size() >= end.size() && text.compare(text.size() - end.size(), end.size(), end) == 0;
+}
+
+void write_text(const std::string& path, const std::string& text) {
+    std::ofstream out(path, std::ios::binary);
+    out << text;
+    if (!out.flush()) throw Failure(kNoFile, path + ": can't be written");
+}
+
+void write_report(const std::string& path, const replay::RecordedDay& day, const replay::Comparison& comparison) {
+    if (ends_with(path, ".json")) return write_json(path, replay::to_json(day, comparison));
+    std::string svg;
+    try {
+        svg = replay::draw_svg(day, comparison);
+    } catch (const std::runtime_error& wrong) {
+        throw Failure(kNoFile, path + ": " + wrong.what());
+    }
+    write_text(path, ends_with(path, ".svg") ? svg : replay::html_page(day, comparison, svg));
+}
+
+int compare(const Args& args) {
+    for (const auto& path : args.reports)
+        if (!ends_with(path, ".json") && !ends_with(path, ".svg") && !ends_with(path, ".html"))
+            throw Failure(kBadSettings, "--report " + path + ": its name ends in .html, .svg or .json");
+    const auto day = load(args.file);
+    warn_of_damage(day);
+    // "recorded" stands for the settings of the recording itself.
+    const auto trial = [&](const std::string& path) { return trial_of(day, path == "recorded" ? "" : path, {}); };
+    const auto a = trial(args.settings.at(0)), b = trial(args.settings.at(1));
+    replay::PlayOptions options;
+    options.from = time_of(args.from, "--from"), options.to = time_of(args.to, "--to");
+    if (!args.lead.empty()) options.lead = time_of(args.lead, "--lead");
+    if (args.seed > 0) options.seed = args.seed;
+    options.clock = args.clock == "real" ? day::ClockKind::Real : day::ClockKind::Virtual;
+    replay::Comparison comparison;
+    try {
+        comparison = replay::compare(day, a, b, std::max(2, args.runs), options);
+    } catch (const std::runtime_error& wrong) {
+        throw Failure(kBadSettings, wrong.what());
+    }
+    std::printf("%s", replay::to_text(day, comparison).c_str());
+    for (const auto& path : args.reports) write_report(path, day, comparison);
+    const bool broken = !comparison.a.first.run.breaks.empty() || !comparison.b.first.run.breaks.empty();
+    const bool differs = args.clock == "virtual" && !(comparison.a.same && comparison.b.same);
+    return broken || differs ? kRuleBroken : kGood;
+}
+
 }  // namespace
 
 void add_replay(CLI::App& app, Command& chosen) {
@@ -173,18 +223,29 @@
     };
     simple("info", "What is in a recording, when, and which troubles", &info);
     simple("verify", "Read all of it; say where a damaged one breaks (exit 1)", &verify);
+    const auto add_span = [&](CLI::App* sub) {
+        sub->add_option("--from", args->from, "Count from here, as 20s");
+        sub->add_option("--to", args->to, "... to here");
+        sub->add_option("--lead", args->lead, "Traffic sets in so long before, uncounted (60s)");
+        sub->add_option("--clock", args->clock, "real or virtual")->check(CLI::IsMember({"real", "virtual"}))->capture_default_str();
+        sub->add_option("--seed", args->seed, "Another luck in the same world");
+        sub->add_option("--runs", args->runs, "Play it so often and compare")->check(CLI::Range(1, 1000));
+    };
     auto* sub = replay->add_subcommand("run", "Play it again; exit 1 where a rule was broken");
     sub->add_option("FILE", args->file, "The recording")->required();
     sub->add_option("--set", args->sets, "section.key=value, or replay.workers=+10%, replay.traffic=1.2, replay.startup=5")->take_all();
     sub->add_option("--config", args->config, "Settings (INI), whole or those that change");
-    sub->add_option("--from", args->from, "Count from here, as 20s");
-    sub->add_option("--to", args->to, "... to here");
-    sub->add_option("--clock", args->clock, "real or virtual")->check(CLI::IsMember({"real", "virtual"}))->capture_default_str();
+    add_span(sub);
     sub->add_option("--speed", args->speed, "The real clock so many times faster")->check(CLI::Range(0.1, 100.0));
-    sub->add_option("--seed", args->seed, "Another luck in the same world");
-    sub->add_option("--runs", args->runs, "Play it so often and compare")->check(CLI::Range(1, 1000));
     sub->add_option("--json", args->json, "Write the figures here");
     sub->callback([args, &chosen] { chosen = [args] { return run(*args); }; });
+
+    auto* both = replay->add_subcommand("compare", "The same day under two settings, each played twice or more");
+    both->add_option("FILE", args->file, "The recording")->required();
+    both->add_option("SETTINGS", args->settings, "Two INI files; 'recorded' for the recording's own")->required()->expected(2);
+    both->add_option("--report", args->reports, "Write a page, a picture or figures (.html, .svg, .json); may stand several times")->take_all();
+    add_span(both);
+    both->callback([args, &chosen] { chosen = [args] { return compare(*args); }; });
 }
 
 }  // namespace badgergrade::cli
--- a/src/day/moves.h
+++ b/src/day/moves.h
@@ -50,6 +50,7 @@
 struct TimedMove {
     Micros at{};           // since the day's begin
     bool opening = false;  // part of the beginning, before the clock moves
+    bool joined = false;   // made in one step with the move before, at the same time
     Move what;
 };
 
--- a/src/day/world.cpp
+++ b/src/day/world.cpp
@@ -63,6 +63,7 @@
     timer.after(delay, [this, id, what = std::move(what)] {
         const auto run = what;
         timers_.erase(id);
+        ++step_;
         run();
     });
 }
@@ -102,8 +103,16 @@
     for (auto& [forwarder, list] : traffic)
         for (auto& one : list) one.came += begin_;
     add_clients(std::move(traffic));
-    for (const TimedMove& move : given_->moves)
-        if (!move.opening) later(move.at, [this, &move] { make(move.what); });
+    // What was done in one step is done in one step again: nothing comes in between.
+    for (auto first = given_->moves.begin(); first != given_->moves.end();) {
+        auto end = std::next(first);
+        while (end != given_->moves.end() && end->joined && end->at == first->at) ++end;
+        if (!first->opening)
+            later(first->at, [this, first, end] {
+                for (auto move = first; move != end; ++move) make(move->what);
+            });
+        first = end;
+    }
 }
 
 void World::add_governor(std::size_t k) {
@@ -154,8 +163,9 @@
 
 // ---- moves
 
-void World::make(Move move) {
-    if (on_move) on_move(loop_.clock().now(), opening_, move);
+void World::make(const Move& move) {
+    if (on_move) on_move(loop_.clock().now(), opening_, moved_step_ == step_, move);
+    moved_step_ = step_;
     apply(move);
 }
 
@@ -287,6 +297,7 @@
 
 void World::start_worker(std::size_t k, bool cold) {
     WorkerSlot& slot = workers_[k];
+    slot.worker.reset();
     ++slot.incarnation;
     slot.started = cold ? loop_.clock().now() : 0us;
     standin::WorkerSettings settings = slot.settings;
@@ -341,6 +352,7 @@
 // ---- governors and forwarders
 
 void World::start_governor(std::size_t k) {
+    stop_governor(k);
     GovernorSlot& slot = governors_[k];
     config::GovernorConfig config = script_.governor;
     config.id = slot.name;
@@ -395,6 +407,7 @@
 
 void World::start_forwarder(std::size_t k) {
     ForwarderSlot& slot = forwarders_[k];
+    slot.forwarder.reset();
     ++slot.starts;
     const Settings& told = script_.governor.told;
     base::Chance chance(script_.seed, slot.plan.id + "/start/" + std::to_string(slot.starts));
@@ -469,7 +482,7 @@
 void World::trouble_worker(std::size_t k, const std::function<void(standin::WorkerTrouble&)>& change) {
     Move move{.kind = MoveKind::TroubleWorker, .who = workers_[k].settings.id, .trouble = workers_[k].worker->trouble};
     change(move.trouble);
-    make(std::move(move));
+    make(move);
 }
 
 // Changes those struck, and back when the trouble is over (unless they died meanwhile).
@@ -619,7 +632,7 @@
     if (on_trouble) on_trouble(loop_.clock().now(), trouble);
     // Now, and the opposite when the trouble is over.
     const auto for_a_while = [&](Move move, Move back) {
-        make(std::move(move));
+        make(move);
         later(trouble.lasts, [this, back = std::move(back)] { make(back); });
     };
     switch (trouble.kind) {
--- a/src/day/world.h
+++ b/src/day/world.h
@@ -63,8 +63,9 @@
     std::function<void(standin::Forwarder&)> on_forwarder;
     // The channel's pace changed by this factor (the auditor's rules stretch with it).
     std::function<void(double slower)> on_slow_channel;
-    // Hears of each move before it is made, and of each trouble of the script as it strikes.
-    std::function<void(Micros now, bool opening, const Move&)> on_move;
+    // Hears of each move before it is made (`joined`: in one step with the move before), and of each trouble of the
+    // script as it strikes.
+    std::function<void(Micros now, bool opening, bool joined, const Move&)> on_move;
     std::function<void(Micros now, const Trouble&)> on_trouble;
     // Hears what governors are told and decide.
     governor::Watcher* governor_watcher = nullptr;
@@ -106,7 +107,7 @@
     std::vector<standin::ClientSettings::GivesUp> gives_up() const;
     standin::WorkerSettings draw_worker(std::size_t k) const;
 
-    void make(Move move);
+    void make(const Move& move);
     void apply(const Move& move);
     void apply_to_worker(const Move& move);
     void apply_to_forwarder(const Move& move);
@@ -144,6 +145,7 @@
     const DayScript& script_;
     const GivenWorld* given_;
     bool opening_ = false;
+    std::uint64_t step_ = 0, moved_step_ = 0;  // steps of the world; the one of its last move
     log::Log& log_;
     Watchers watchers_;
     DayWeather weather_;
--- a/src/record/reader.cpp
+++ b/src/record/reader.cpp
@@ -5,16 +5,6 @@
 
 namespace badgergrade::record {
 
-namespace {
-
-Micros last_of(const pb::Block& block) {
-    Micros out(block.first_us());
-    for (const auto& record : block.records()) out += Micros(record.after_us());
-    return out;
-}
-
-}  // namespace
-
 Reader::Reader(const std::string& path) : path_(path), file_(path, std::ios::binary) {
     if (!file_) throw std::runtime_error(path + ": can't be read");
     file_.seekg(0, std::ios::end);
@@ -88,7 +78,8 @@
         const auto body = frame_at(at, head, next, why);
         pb::Block block;
         if (body && head.kind == FrameKind::Block && block.ParseFromString(*body)) {
-            blocks_.push_back({at, Micros(block.first_us()), last_of(block), static_cast<std::uint64_t>(block.records_size()), block.lost()});
+            const Span span = span_of(block);
+            blocks_.push_back({at, span.first, span.last, static_cast<std::uint64_t>(block.records_size()), block.lost()});
         } else if (body && head.kind == FrameKind::Index && read_trailer(bytes_at(next, kTrailer)) == at) {
             ended = true;
             next += kTrailer;
--- a/src/record/writer.cpp
+++ b/src/record/writer.cpp
@@ -1,5 +1,6 @@
 #include "record/writer.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstdio>
 #include <cstring>
@@ -34,6 +35,16 @@
 
 }  // namespace
 
+Span span_of(const pb::Block& block) {
+    Micros at(block.first_us());
+    Span out{at, at};
+    for (const auto& record : block.records()) {
+        at += Micros(record.after_us());
+        out.first = std::min(out.first, at), out.last = std::max(out.last, at);
+    }
+    return out;
+}
+
 std::unique_ptr<Sink> file_sink(const std::string& path) { return std::make_unique<FileSink>(path); }
 
 Writer::Writer(std::unique_ptr<Sink> sink, const pb::Header& header, WriterOptions options)
@@ -131,10 +142,9 @@
         room_.notify_all();
         return;
     }
-    Micros last(block.first_us());
-    for (const auto& record : block.records()) last += Micros(record.after_us());
+    const Span span = span_of(block);
     auto& entry = *index_.add_blocks();
-    entry.set_at(at), entry.set_first_us(block.first_us()), entry.set_last_us(last.count());
+    entry.set_at(at), entry.set_first_us(span.first.count()), entry.set_last_us(span.last.count());
     entry.set_records(count), entry.set_lost(block.lost());
     const std::lock_guard lock(mutex_);
     figures_.records += count;
--- a/src/record/writer.h
+++ b/src/record/writer.h
@@ -33,6 +33,12 @@
 // Throws std::runtime_error when the file can't be made.
 std::unique_ptr<Sink> file_sink(const std::string& path);
 
+// The earliest and the latest time in a block; a clock may have gone back in it.
+struct Span {
+    Micros first{}, last{};
+};
+Span span_of(const pb::Block& block);
+
 enum class WhenFull { Lose, Wait };
 
 struct WriterOptions {
--- a/src/replay/play.cpp
+++ b/src/replay/play.cpp
@@ -86,7 +86,7 @@
     if (options.seed) playable.script.seed = *options.seed;
     playable.script.length = out.to;
     for (auto& [forwarder, list] : playable.world.traffic)
-        std::erase_if(list, [&](const auto& one) { return one.came < out.from - kLead || one.came >= out.to; });
+        std::erase_if(list, [&](const auto& one) { return one.came < out.from - options.lead || one.came >= out.to; });
     // A virtual and a real clock both begin here (day/runner.cpp).
     std::optional<Trail> trail;
     std::optional<Series> series;
--- a/src/replay/play.h
+++ b/src/replay/play.h
@@ -66,14 +66,13 @@
     double speed = 1;
     std::optional<std::uint64_t> seed;
     Micros from{}, to{};          // to 0: to its end
+    // Traffic sets in so long before `from`, uncounted: tables, queues and what the module has seen must be as at work.
+    Micros lead = std::chrono::seconds(60);
     log::Level log = log::Level::Off;
     // Taken beside, as by a recorder.
     std::function<void(day::World&)> before;
     std::vector<standin::Observer*> watchers;
 };
-// Traffic sets in so long before `from`, uncounted, so that tables and queues are as at work.
-inline constexpr Micros kLead = std::chrono::seconds(10);
-
 struct Played {
     day::DayRun run;
     std::vector<Trail::Step> trail;
--- a/src/replay/recorded_day.cpp
+++ b/src/replay/recorded_day.cpp
@@ -1,7 +1,10 @@
 #include "replay/recorded_day.h"
 
+#include <cstdlib>
+#include <set>
 #include <sstream>
 #include <stdexcept>
+#include <utility>
 
 #include "replay/recorder.h"
 
@@ -58,9 +61,10 @@
     void take(const pb::Block& block) {
         names_ = &block.names();
         last_id_ = 0;
-        Micros at(block.first_us());
+        Micros told(block.first_us());
         for (const auto& record : block.records()) {
-            at += Micros(record.after_us());
+            told += Micros(record.after_us());
+            const Micros at = steady(told);
             ++day_.kinds[kind_of(record)];
             ++day_.records;
             take(at, record);
@@ -69,9 +73,21 @@
     void close() {
         figures_.close();
         day_.figures = figures_.json();
+        if (senseless_ > 0)
+            day_.damage.push_back({0, std::to_string(senseless_) + " moves name what this recording does not begin; they are left out"});
     }
 
 private:
+    // Where the recorder's clock went back, the day goes on from where it was: what follows is moved by as much.
+    Micros steady(Micros told) {
+        if (told < last_told_) {
+            day_.damage.push_back({0, "the clock went back by " + std::to_string((last_told_ - told).count()) + " us at " +
+                                          std::to_string(last_told_.count()) + " us; what follows is moved by as much"});
+            moved_by_ += last_told_ - told;
+        }
+        last_told_ = told;
+        return told + moved_by_;
+    }
     std::string name(std::uint32_t number) const {
         return number == 0 || number > static_cast<std::uint32_t>(names_->size()) ? std::string{} : names_->Get(static_cast<int>(number) - 1);
     }
@@ -89,20 +105,51 @@
     void move(Micros at, const pb::Move& from) {
         day::TimedMove out;
         out.at = at, out.opening = from.opening();
+        // Only with the move before itself: where that is lost, this one stands alone.
+        out.joined = from.joined() && !day_.world.moves.empty() && day_.world.moves.back().at == at;
         day::Move& m = out.what;
         m.kind = static_cast<day::MoveKind>(from.kind());
         m.who = name(from.who()), m.on = from.on(), m.by = from.by(), m.wait = Micros(from.wait_us()), m.text = from.text();
         if (from.has_trouble()) m.trouble = trouble_of(from.trouble());
         if (from.has_worker()) m.worker = worker_of(m.who, from.worker());
+        if (!makes_sense(m)) return void(++senseless_);
         if (m.kind == day::MoveKind::AddForwarder) figures_.place(m.who, m.text);
         day_.world.moves.push_back(std::move(out));
     }
+    // Where blocks are lost, a move may name a host whose beginning is lost with them, or start what already runs.
+    bool makes_sense(const day::Move& m) {
+        using enum day::MoveKind;
+        switch (m.kind) {
+            case AddWorker: return workers_.try_emplace(m.who, false).second;
+            case AddForwarder: return forwarders_.insert(m.who).second;
+            case StartWorker:
+            case StopWorker:
+                if (!workers_.contains(m.who)) return false;
+                workers_[m.who] = m.kind == StartWorker;
+                return true;
+            case ListWorker:
+            case UnlistWorker:
+            case TroubleWorker: return workers_.contains(m.who) && (m.kind == UnlistWorker || workers_[m.who]);
+            case StartForwarder:
+            case StopForwarder:
+            case BreakStream:
+            case IsolateForwarder:
+            case StallForwarder: return forwarders_.contains(m.who);
+            case StartGovernor:
+            case StopGovernor: {
+                const auto known = m.who.rfind("governor-", 0) == 0 && std::atoi(m.who.c_str() + 9) < script_.governors;
+                return known && std::exchange(governors_[m.who], m.kind == StartGovernor) != (m.kind == StartGovernor);
+            }
+            default: return m.kind >= CutZone && m.kind <= GiveUp;
+        }
+    }
     void came(Micros at, const pb::Came& from) {
         last_id_ += from.id_more();
         standin::Invocation one;
         one.id = static_cast<std::uint64_t>(last_id_), one.operation = static_cast<int>(from.operation());
         if (one.operation >= static_cast<int>(script_.operations.size()))
             throw std::runtime_error(day_.path + ": an invocation of operation " + std::to_string(one.operation) + ", which the settings do not name");
+        if (!forwarders_.contains(name(from.forwarder()))) return void(++senseless_);
         one.forwarder = name(from.forwarder()), one.key = name(from.key()), one.work = Micros(static_cast<std::int64_t>(from.work_us()));
         one.came = at;
         figures_.invocation_came(at, one);
@@ -121,6 +168,9 @@
         open_.erase(it);
     }
 
+    std::map<std::string, bool> workers_, governors_;  // whether it runs
+    std::set<std::string> forwarders_;
+    std::uint64_t senseless_ = 0;
     struct Open {
         int operation = 0;
         std::string forwarder;
@@ -131,6 +181,7 @@
     day::Figures figures_;
     const google::protobuf::RepeatedPtrField<std::string>* names_ = nullptr;
     std::int64_t last_id_ = 0;
+    Micros last_told_ = Micros::min(), moved_by_{};
     std::map<std::uint64_t, Open> open_;
 };
 
@@ -167,12 +218,13 @@
         out.lost += block.lost();
     });
     builder.close();
-    out.damage = reader.damage();
+    const auto& damage = reader.damage();
+    out.damage.insert(out.damage.begin(), damage.begin(), damage.end());
     if (!reader.finished() && !reader.blocks().empty()) {
         // Cut: the day ends where the file does.
         Micros last{};
         for (const auto& block : reader.blocks()) last = std::max(last, block.last);
-        out.length = std::min(out.length, last);
+        out.length = std::min(out.length, last + 1us);
     }
     if (out.world.moves.empty() || out.invocations == 0) throw std::runtime_error(path + ": holds no day that could be played");
     return out;
--- a/src/replay/recorder.cpp
+++ b/src/replay/recorder.cpp
@@ -51,17 +51,17 @@
 }
 
 void Recorder::follow(day::World& world) {
-    world.on_move = [this](Micros now, bool opening, const day::Move& move) { moved(now, opening, move); };
+    world.on_move = [this](Micros now, bool opening, bool joined, const day::Move& move) { moved(now, opening, joined, move); };
     world.on_trouble = [this](Micros now, const day::Trouble& trouble) { struck(now, trouble); };
     world.governor_watcher = this;
 }
 
-void Recorder::moved(Micros now, bool opening, const day::Move& move) {
+void Recorder::moved(Micros now, bool opening, bool joined, const day::Move& move) {
     auto& out = *writer_.add(now).mutable_move();
     out.set_kind(static_cast<std::uint32_t>(move.kind));
     out.set_who(writer_.name(move.who));
     out.set_on(move.on), out.set_by(move.by), out.set_wait_us(move.wait.count()), out.set_text(move.text);
-    out.set_opening(opening);
+    out.set_opening(opening), out.set_joined(joined);
     if (move.kind == day::MoveKind::TroubleWorker) {
         auto& t = *out.mutable_trouble();
         t.set_hangs(move.trouble.hangs), t.set_errors(move.trouble.errors), t.set_slower(move.trouble.slower);
--- a/src/replay/recorder.h
+++ b/src/replay/recorder.h
@@ -50,7 +50,7 @@
         Micros sent{};
         int operation = 0, number = 0;
     };
-    void moved(Micros now, bool opening, const day::Move& move);
+    void moved(Micros now, bool opening, bool joined, const day::Move& move);
     void struck(Micros now, const day::Trouble& trouble);
     void write_try(Micros now, const std::string& forwarder, std::uint64_t invocation, const OpenTry& one, std::uint32_t end);
 
--- a/src/replay/trial.cpp
+++ b/src/replay/trial.cpp
@@ -115,8 +115,8 @@
     day::Move add{.kind = AddWorker, .who = id, .worker = like};
     add.worker.id = id;
     std::vector<day::TimedMove> moves;
-    for (const auto kind : {StartWorker, ListWorker}) moves.push_back({0us, true, {.kind = kind, .who = id}});
-    moves.insert(moves.begin(), {0us, true, std::move(add)});
+    for (const auto kind : {StartWorker, ListWorker}) moves.push_back({0us, true, true, {.kind = kind, .who = id}});
+    moves.insert(moves.begin(), {0us, true, true, std::move(add)});
     // Among the workers, before governors and forwarders start.
     const auto at = std::find_if(world.moves.begin(), world.moves.end(),
                                  [](const day::TimedMove& m) { return !m.opening || m.what.kind == StartGovernor || m.what.kind == AddForwarder; });
@@ -161,7 +161,7 @@
                 if (n == 0) continue;
                 // Ids of copies follow from the first one's, so that the same luck falls to them every time.
                 out.back().id = next * static_cast<std::uint64_t>(n) + one.id;
-                out.back().came = std::clamp(one.came + Micros(std::llround(luck.between(-5e5, 5e5))), 0us, length);
+                out.back().came = std::clamp(one.came + Micros(std::llround(luck.between(-5e5, 5e5))), 0us, length - 1us);
             }
         }
         std::stable_sort(out.begin(), out.end(), [](const auto& a, const auto& b) { return a.came < b.came; });
--- a/tests/program/day_test.cpp
+++ b/tests/program/day_test.cpp
@@ -182,7 +182,7 @@
 // Retries count with the first try, and place-job is billed threefold: a day of known counts.
 TEST(Figures, BillAsTheUsersDo) {
     const auto day = script("");
-    day::Figures figures(day, 1000s, {{"f", "bang-na"}});
+    day::Figures figures(day, 1000s, day.length, {{"f", "bang-na"}});
     const auto play = [&](std::uint64_t id, int operation, int tries, standin::Result result, Micros took) {
         standin::Invocation one;
         one.id = id, one.operation = operation, one.forwarder = "f", one.came = 1000s + 1s;
--- /dev/null
+++ b/tests/program/replay_test.cpp
@@ -0,0 +1,358 @@
+// Recorded days: played again they come to the same, a changed setting tells, and what makes no sense is refused.
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "replay/compare.h"
+#include "replay/recorder.h"
+#include "replay/report.h"
+#include "support.h"
+
+namespace badgergrade::replay {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct Folder {
+    Folder() {
+        std::string name = (std::filesystem::temp_directory_path() / "badgergrade-replay-XXXXXX").string();
+        path = mkdtemp(name.data());
+    }
+    ~Folder() { std::filesystem::remove_all(path); }
+    std::string file(const std::string& name) const { return (std::filesystem::path(path) / name).string(); }
+    std::string path;
+};
+
+// A governor that dies, a cold return, a lost site and broken streams, in ten seconds.
+const char* const kShortDay = R"(settings governor.ini
+seed 4
+length 10 s
+workers 6
+forwarders 4
+rate 30
+operation look share 70% work 60 ms cv 0.5
+operation order share 30% work 80 ms cv 0.5
+list gone 0.3..0.6 s new 0.2..0.4 s
+way orders 10..40 ms
+redial 0.2..0.4 s
+startup 3
+at 1 s crash workers 2 for 2 s
+at 4 s governor-crash 0 for 1 s
+at 6 s zone-loss south for 2 s with-forwarders
+at 8 s streams-break forwarders 50%
+at 8500 ms hang workers 1 for 1 s
+)";
+
+day::DayScript short_day(const std::string& more = {}) {
+    std::vector<config::Mistake> mistakes;
+    const auto settings = config::IniFile::parse("test.ini", test::kSettings, mistakes);
+    auto day = day::parse_script("short.day", kShortDay + more, settings, mistakes);
+    for (const auto& mistake : mistakes) ADD_FAILURE() << config::to_text(mistake);
+    return day;
+}
+
+day::DayRun record(const day::DayScript& script, const std::string& path, record::WriterOptions how = {}) {
+    std::unique_ptr<record::Writer> writer;
+    std::unique_ptr<Recorder> recorder;
+    how.when_full = record::WhenFull::Wait;
+    day::DayOptions options;
+    options.prepare = [&](base::Micros begin) {
+        writer = std::make_unique<record::Writer>(record::file_sink(path), header_of(script, begin), how);
+        recorder = std::make_unique<Recorder>(*writer);
+        return std::vector<standin::Observer*>{recorder.get()};
+    };
+    options.before = [&](day::World& world) { recorder->follow(world); };
+    auto out = day::run_day(script, options);
+    writer->finish();
+    return out;
+}
+
+Trial trial(const RecordedDay& day, const Sets& sets) {
+    std::vector<config::Mistake> mistakes;
+    auto out = read_trial(day, std::nullopt, sets, mistakes);
+    for (const auto& mistake : mistakes) ADD_FAILURE() << config::to_text(mistake);
+    return out;
+}
+
+std::string refused(const RecordedDay& day, const std::string& name, const std::string& value) {
+    std::vector<config::Mistake> mistakes;
+    read_trial(day, std::nullopt, {{name, value}}, mistakes);
+    return mistakes.empty() ? std::string{} : config::to_text(mistakes.front());
+}
+
+TEST(Replay, ADayPlayedAgainUnderItsOwnSettingsIsTheSameToTheByte) {
+    const Folder folder;
+    const auto script = short_day();
+    const auto lived = record(script, folder.file("day"));
+    const auto day = load_recording(folder.file("day"));
+    EXPECT_TRUE(day.damage.empty());
+    EXPECT_EQ(day.length, 10s);
+    EXPECT_EQ(day.troubles.size(), script.troubles.size());
+    EXPECT_EQ(day.figures["whole_day"], lived.result["figures"]["whole_day"]);
+    EXPECT_EQ(day.figures["by_operation"], lived.result["figures"]["by_operation"]);
+    EXPECT_EQ(day.figures["by_zone"], lived.result["figures"]["by_zone"]);
+    EXPECT_EQ(day.figures["worst_10_s"], lived.result["figures"]["worst_10_s"]);
+    const auto again = play(day, trial(day, {}), {});
+    EXPECT_EQ(again.run.result["figures"].dump(), lived.result["figures"].dump());
+    EXPECT_EQ(again.run.result["rules"].dump(), lived.result["rules"].dump());
+    EXPECT_FALSE(again.trail.empty());
+    for (int n = 0; n < 3; ++n) {
+        const auto more = play(day, trial(day, {}), {});
+        ASSERT_EQ(more.run.result.dump(), again.run.result.dump());
+        ASSERT_EQ(more.trail, again.trail);
+    }
+}
+
+TEST(Replay, EveryKindOfTroubleComesBackAsItWas) {
+    const Folder folder;
+    std::vector<config::Mistake> mistakes;
+    const auto script = day::load_script(std::string(BADGERGRADE_SOURCE) + "/examples/all-troubles.day", mistakes);
+    ASSERT_TRUE(mistakes.empty());
+    const auto lived = record(script, folder.file("day"));
+    const auto day = load_recording(folder.file("day"));
+    EXPECT_TRUE(day.damage.empty()) << day.damage.front().what;
+    const auto again = play(day, trial(day, {}), {});
+    EXPECT_EQ(again.run.result["figures"].dump(), lived.result["figures"].dump());
+}
+
+TEST(Replay, AnotherSeedIsAnotherLuckInTheSameWorld) {
+    const Folder folder;
+    record(short_day(), folder.file("day"));
+    const auto day = load_recording(folder.file("day"));
+    PlayOptions other;
+    other.seed = 99;
+    const auto a = play(day, trial(day, {}), {}), b = play(day, trial(day, {}), other);
+    EXPECT_NE(a.run.result["figures"].dump(), b.run.result["figures"].dump());
+    EXPECT_EQ(a.run.result["figures"]["whole_day"]["invocations"], b.run.result["figures"]["whole_day"]["invocations"]);
+    EXPECT_EQ(a.run.result["figures"]["servers"]["starts"], b.run.result["figures"]["servers"]["starts"]);
+}
+
+TEST(Replay, TwoSettingsWithAKnownDifference) {
+    const Folder folder;
+    record(short_day(), folder.file("day"));
+    const auto day = load_recording(folder.file("day"));
+    // The same setting twice parts nowhere and differs in nothing.
+    const auto same = compare(day, trial(day, {}), trial(day, {}), 2, {});
+    EXPECT_TRUE(same.a.same && same.b.same);
+    EXPECT_FALSE(same.heard || same.decided);
+    for (const auto& one : differences(same)) EXPECT_EQ(one.a, one.b) << one.name;
+    // A third of the workers for twice the traffic must cost service; the first list heard is already another.
+    const auto poor = compare(day, trial(day, {}), trial(day, {{"replay.workers", "-4"}, {"replay.traffic", "2"}}), 2, {});
+    EXPECT_TRUE(poor.a.same && poor.b.same);
+    const auto all = differences(poor);
+    EXPECT_EQ(all.front().name, "whole day");
+    EXPECT_LT(all.front().b, all.front().a - 0.1);
+    ASSERT_TRUE(poor.heard.has_value());
+    ASSERT_TRUE(poor.heard->b.has_value());
+    EXPECT_EQ(poor.heard->b->text, "list: worker-000 worker-001");
+    const auto invocations = [](const SettingResult& s) { return s.first.run.result["figures"]["whole_day"]["invocations"].get<int>(); };
+    EXPECT_EQ(invocations(poor.b), 2 * invocations(poor.a));
+    const auto json = to_json(day, poor);
+    EXPECT_EQ(json["a"]["runs_match"], true);
+    EXPECT_EQ(json["changed"].size(), 2u);
+}
+
+TEST(Replay, PartingIsTheFirstStepThatDiffersAndTellsDecisionsFromWhatWasHeard) {
+    const auto step = [](int at, bool decision, const char* text) { return Trail::Step{Micros(at), "g", decision, text}; };
+    const std::vector<Trail::Step> a{step(1, false, "list"), step(2, true, "x"), step(3, false, "sums"), step(4, true, "y")};
+    auto b = a;
+    EXPECT_FALSE(first_parting(a, b, true));
+    b[3].text = "z";
+    ASSERT_TRUE(first_parting(a, b, true));
+    EXPECT_EQ(first_parting(a, b, true)->step, 1u);
+    EXPECT_EQ(first_parting(a, b, true)->b->text, "z");
+    EXPECT_FALSE(first_parting(a, b, false));
+    b.pop_back();
+    ASSERT_TRUE(first_parting(a, b, true));
+    EXPECT_FALSE(first_parting(a, b, true)->b);
+    EXPECT_EQ(first_parting(a, b, true)->at(), Micros(4));
+}
+
+TEST(Replay, ASpanCountsWhatCameInItAndIsAsTheDayWasWithTheWholeLead) {
+    const Folder folder;
+    const auto lived = record(short_day(), folder.file("day"));
+    const auto day = load_recording(folder.file("day"));
+    int came = 0;
+    for (const auto& [forwarder, list] : day.world.traffic)
+        for (const auto& one : list) came += one.came >= 3s && one.came < 7s;
+    PlayOptions span;
+    span.from = 3s, span.to = 7s;
+    const auto part = play(day, trial(day, {}), span);
+    EXPECT_EQ(part.run.result["figures"]["whole_day"]["invocations"], came);
+    // The same seconds of the whole day, one by one.
+    for (std::size_t k = 0; k < 3; ++k)
+        EXPECT_EQ(part.run.result["figures"]["by_second"][k], lived.result["figures"]["by_second"][k + 3]) << k;
+    span.from = 7s, span.to = 3s;
+    EXPECT_THROW(play(day, trial(day, {}), span), std::runtime_error);
+    span.from = 0s, span.to = 11s;
+    EXPECT_THROW(play(day, trial(day, {}), span), std::runtime_error);
+}
+
+TEST(Replay, SettingsThatMakeNoSenseForTheDayAreRefused) {
+    const Folder folder;
+    record(short_day(), folder.file("day"));
+    const auto day = load_recording(folder.file("day"));
+    const std::pair<const char*, const char*> wrong[] = {
+        {"governor.zones", "a, b"}, {"governor.governors", "2"}, {"operation.look.billed_value", "9"}, {"operation.other.effect", "idempotent"},
+        {"replay.workers", "-6"}, {"replay.workers", "7"}, {"replay.workers", "+9000%"}, {"replay.traffic", "0"}, {"replay.traffic", "-1"},
+        {"replay.startup", "0.5"}, {"replay.other", "1"}, {"reports.load_columns", "cpu"}, {"channel.lines_per_second", "0"},
+        {"channel.nonsense", "1"}, {"forwarders.further_tries", "twice"}};
+    for (const auto& [name, value] : wrong) EXPECT_NE(refused(day, name, value), "") << name << " = " << value;
+    // A place's own says nothing here and is passed over; the same fact told again is no change.
+    for (const auto& [name, value] : {std::pair{"xds.listen", "10.0.0.1:99"}, {"governor.id", "other"}, {"governor.zones", "north,south"},
+                                      {"replay.workers", "+50%"}, {"reports.period", "1 s"}})
+        EXPECT_EQ(refused(day, name, value), "") << name;
+    EXPECT_FALSE(read_set("reports.period"));
+    EXPECT_FALSE(read_set(".x=1"));
+    EXPECT_EQ(read_set("operation.look.effect=idempotent")->first, "operation.look.effect");
+}
+
+TEST(Replay, WorkersAndTrafficAreChangedByTheSameLuckEveryTime) {
+    const Folder folder;
+    record(short_day(), folder.file("day"));
+    const auto day = load_recording(folder.file("day"));
+    std::vector<config::Mistake> none;
+    const auto more = make_playable(day, trial(day, {{"replay.workers", "+2"}, {"replay.traffic", "1.5"}}), none);
+    int workers = 0;
+    for (const auto& move : more.world.moves) workers += move.opening && move.what.kind == day::MoveKind::StartWorker;
+    EXPECT_EQ(workers, 8);
+    std::size_t count = 0, recorded = 0;
+    std::set<std::uint64_t> ids;
+    for (const auto& [forwarder, list] : more.world.traffic) {
+        count += list.size();
+        EXPECT_TRUE(std::is_sorted(list.begin(), list.end(), [](const auto& a, const auto& b) { return a.came < b.came; }));
+        for (const auto& one : list) ids.insert(one.id);
+    }
+    for (const auto& [forwarder, list] : day.world.traffic) recorded += list.size();
+    EXPECT_EQ(ids.size(), count);
+    EXPECT_NEAR(static_cast<double>(count) / static_cast<double>(recorded), 1.5, 0.1);
+    // Thinned traffic is a part of the recorded one.
+    const auto less = make_playable(day, trial(day, {{"replay.traffic", "0.5"}}), none);
+    for (const auto& [forwarder, list] : less.world.traffic)
+        for (const auto& one : list) EXPECT_TRUE(ids.contains(one.id));
+}
+
+// ---- a day made by hand
+
+struct HandMade {
+    explicit HandMade(const std::string& path) : script(short_day()), writer(record::file_sink(path), header_of(script, 0us)) {
+        auto& move = *writer.add(0us).mutable_move();
+        move.set_kind(static_cast<std::uint32_t>(day::MoveKind::AddForwarder)), move.set_opening(true);
+        move.set_who(writer.name("forwarder-000")), move.set_text("north");
+    }
+    void came(std::int64_t id, int operation, Micros at) {
+        auto& to = *writer.add(at).mutable_came();
+        to.set_id_more(id - writer.last_id()), writer.last_id() = id;
+        to.set_forwarder(writer.name("forwarder-000")), to.set_operation(static_cast<std::uint32_t>(operation)), to.set_work_us(1000);
+    }
+    void ended(std::int64_t id, standin::Result result, std::uint32_t client_tries, Micros at) {
+        auto& to = *writer.add(at).mutable_ended();
+        to.set_id_less(writer.last_id() - id), to.set_result(static_cast<std::uint32_t>(result)), to.set_client_tries(client_tries);
+    }
+    day::DayScript script;
+    record::Writer writer;
+};
+
+TEST(Replay, RetriesCountWithTheirFirstTryAndPlaceJobsThreefold) {
+    const Folder folder;
+    using enum standin::Result;
+    {
+        // look: billed 1, objective 500 ms; order: billed 3, objective 1 s.
+        HandMade day(folder.file("hand"));
+        day.came(1, 0, 1s), day.ended(1, Succeeded, 1, 1400ms);      // within
+        day.came(2, 0, 2s), day.ended(2, Succeeded, 2, 2600ms);      // its retry was quick, but counted from the first try it is late
+        day.came(3, 0, 3s), day.ended(3, RateLimited, 2, 3100ms);
+        day.came(4, 1, 4s), day.ended(4, Succeeded, 2, 4900ms);      // within, at its second try: once, threefold
+        day.came(5, 1, 5s);                                          // never answered
+        day.came(6, 0, 6s), day.came(7, 0, 6100ms), day.ended(6, Succeeded, 1, 6200ms), day.ended(7, Errored, 3, 6300ms);
+    }
+    const auto day = load_recording(folder.file("hand"));
+    const auto& whole = day.figures["whole_day"];
+    EXPECT_EQ(whole["invocations"], 7);
+    EXPECT_EQ(whole["succeeded"], 4);
+    EXPECT_EQ(whole["late"], 1);
+    EXPECT_EQ(whole["rate_limited"], 1);
+    EXPECT_EQ(whole["errored"], 1);
+    EXPECT_EQ(whole["timed_out"], 1);
+    EXPECT_EQ(day.figures["tries"]["by_clients"], 11);
+    // Asked for: five looks and two orders at three; within: two looks and one order.
+    EXPECT_NEAR(whole["service"].get<double>(), 5.0 / 11, 1e-6);
+    EXPECT_NEAR(day.figures["by_operation"]["order"]["service"].get<double>(), 0.5, 1e-6);
+    EXPECT_NEAR(day.figures["by_operation"]["look"]["service"].get<double>(), 0.4, 1e-6);
+}
+
+TEST(Replay, AClockThatWentBackWhileRecordingDoesNotTurnTheDayAround) {
+    const Folder folder;
+    {
+        HandMade day(folder.file("jump"));
+        day.came(1, 0, 1s), day.came(2, 0, 4s), day.came(3, 0, 2s), day.came(4, 0, 3s);
+    }
+    const auto day = load_recording(folder.file("jump"));
+    ASSERT_EQ(day.damage.size(), 1u);
+    EXPECT_NE(day.damage[0].what.find("went back by 2000000 us"), std::string::npos) << day.damage[0].what;
+    std::vector<Micros> came;
+    for (const auto& one : day.world.traffic.at("forwarder-000")) came.push_back(one.came);
+    EXPECT_EQ(came, (std::vector<Micros>{1s, 4s, 4s, 5s}));
+}
+
+TEST(Replay, ACutDayIsPlayedToTheCutAndADamagedOneWithoutItsBlock) {
+    const Folder folder;
+    record::WriterOptions how;
+    how.block_span = 1s;
+    record(short_day(), folder.file("day"), how);
+    const auto whole = load_recording(folder.file("day"));
+    record::Reader reader(folder.file("day"));
+    ASSERT_GT(reader.blocks().size(), 8u);
+    std::ifstream in(folder.file("day"), std::ios::binary);
+    std::ostringstream bytes;
+    bytes << in.rdbuf();
+    const auto put = [&](const std::string& name, const std::string& text) { std::ofstream(folder.file(name), std::ios::binary) << text; };
+
+    put("cut", bytes.str().substr(0, reader.blocks()[5].at + 30));
+    const auto cut = load_recording(folder.file("cut"));
+    EXPECT_EQ(cut.length, reader.blocks()[4].last + 1us);
+    EXPECT_FALSE(cut.damage.empty());
+    const auto played = play(cut, trial(cut, {}), {});
+    EXPECT_EQ(played.run.result["figures"]["whole_day"]["invocations"], cut.invocations);
+    EXPECT_LT(cut.invocations, whole.invocations);
+
+    // Each block in turn, also the ones with starts and stops in them: what is left plays without a crash.
+    for (std::size_t k = 1; k < reader.blocks().size(); ++k) {
+        std::string bad = bytes.str();
+        bad[reader.blocks()[k].at + 40] ^= 1;
+        put("bad", bad);
+        const auto day = load_recording(folder.file("bad"));
+        ASSERT_FALSE(day.damage.empty()) << k;
+        EXPECT_NE(day.damage[0].what.find("checksum"), std::string::npos) << day.damage[0].what;
+        play(day, trial(day, {}), {});
+    }
+    std::string bad = bytes.str();
+    bad[reader.blocks()[0].at + 40] ^= 1;
+    put("bad", bad);
+    EXPECT_THROW(load_recording(folder.file("bad")), std::runtime_error);
+}
+
+TEST(Replay, ReportsHoldTheirFiguresAndEscapeWhatTheyName) {
+    const Folder folder;
+    record(short_day(), folder.file("day"));
+    const auto day = load_recording(folder.file("day"));
+    auto other = trial(day, {{"reports.period", "250 ms"}});
+    other.name = "<b>'quoted\" & odd</b>";
+    const auto comparison = compare(day, trial(day, {}), other, 2, {});
+    const std::string svg = draw_svg(day, comparison);
+    EXPECT_NE(svg.find("<svg"), std::string::npos);
+    EXPECT_NE(svg.find("zone-loss south"), std::string::npos);
+    const std::string page = html_page(day, comparison, svg);
+    EXPECT_EQ(page.find("<b>'quoted"), std::string::npos);
+    EXPECT_NE(page.find("&lt;b&gt;"), std::string::npos);
+    EXPECT_NE(page.find("the same to the byte"), std::string::npos);
+    const std::string text = to_text(day, comparison);
+    EXPECT_NE(text.find("[reports] period: 500 ms under A, 250 ms under B"), std::string::npos) << text;
+    EXPECT_NE(text.find("first heard otherwise at"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace badgergrade::replay
