--- a/src/cli/day.cpp
+++ b/src/cli/day.cpp
@@ -1,5 +1,6 @@
 #include <cstdio>
 #include <fstream>
+#include <optional>
 
 #include "cli/cli.h"
 #include "day/runner.h"
@@ -9,7 +10,7 @@
 namespace {
 
 struct Args {
-    std::string script, json, record, log = "off";
+    std::string script, json, record, governors, log = "off";
     bool real = false, quiet = false;
     std::uint64_t seed = 0;
     int runs = 1;
@@ -62,10 +63,18 @@
     bool broken = false, differs = false;
     std::string first;
     for (int n = 0; n < args.runs; ++n) {
+        std::optional<replay::GovernorFiles> files;
+        if (n == 0 && !args.governors.empty()) {
+            files.emplace(args.governors, script);
+            options.before = [&](day::World& world) { world.governor_watcher = &*files; };
+        } else {
+            options.before = {};
+        }
         const auto result = n == 0 && !args.record.empty() ? record_day(script, options, args.record) : day::run_day(script, options);
         const std::string text = result.result.dump(1);
         if (n == 0) first = text;
         differs = differs || text != first;
+        if (files) files->close();
         broken = broken || !result.breaks.empty();
         if (n == 0 && !args.quiet) std::printf("%s", day::to_text(script, result).c_str());
         if (n > 0) continue;
@@ -94,6 +103,7 @@
     sub->add_option("--seed", args->seed, "In place of the script's");
     sub->add_option("--json", args->json, "Write the figures here");
     sub->add_option("--record", args->record, "Record the first run here");
+    sub->add_option("--record-governors", args->governors, "Record in this folder what each governor of the first run met")->check(CLI::ExistingDirectory)->excludes("--record");
     sub->add_option("--runs", args->runs, "Play it so often and compare")->check(CLI::Range(1, 1000));
     sub->add_option("--log", args->log, "off, warning, info or debug")->check(CLI::IsMember({"off", "warning", "info", "debug"}))->capture_default_str();
     sub->add_flag("--quiet", args->quiet, "No text");
--- a/src/cli/replay.cpp
+++ b/src/cli/replay.cpp
@@ -2,6 +2,7 @@
 #include <fstream>
 
 #include "cli/cli.h"
+#include "replay/merge.h"
 #include "replay/play.h"
 #include "replay/recorder.h"
 #include "replay/report.h"
@@ -11,7 +12,7 @@
 
 struct Args {
     std::string file, json, config, from, to, lead, clock = "virtual";
-    std::vector<std::string> sets, settings, reports;
+    std::vector<std::string> sets, settings, reports, files;
     double speed = 1;
     std::uint64_t seed = 0;
     int runs = 1;
@@ -77,13 +78,17 @@
     std::printf("%llu bytes, %zu blocks, %llu records over %s, %llu lost while recording, %s\n", static_cast<unsigned long long>(reader.bytes()),
                 reader.blocks().size(), static_cast<unsigned long long>(records), seconds(last).c_str(), static_cast<unsigned long long>(lost),
                 reader.finished() ? "ended in order" : "not ended in order");
-    if (header.script().empty()) return kGood;
+    for (const auto& note : header.notes()) std::printf("  %s\n", note.c_str());
+    if (header.script().empty()) {
+        std::printf("a governor's own: make a day of it with replay merge\n");
+        return kGood;
+    }
     const auto day = load(path);
     warn_of_damage(day);
     for (const auto& [kind, count] : day.kinds) std::printf("  %-14s %llu\n", kind.c_str(), static_cast<unsigned long long>(count));
     if (day.invocations > 0)
         std::printf("%.1f bytes an invocation, all records counted in\n", static_cast<double>(reader.bytes()) / static_cast<double>(day.invocations));
-    std::printf("service as recorded: %.4f, worst 10 s %.4f\n", day.figures["whole_day"]["service"].get<double>(), day.figures["worst_10_s"].get<double>());
+    if (day.kinds.contains("results")) std::printf("service as recorded: %.4f, worst 10 s %.4f\n", day.figures["whole_day"]["service"].get<double>(), day.figures["worst_10_s"].get<double>());
     for (const auto& trouble : day.troubles)
         std::printf("  at %s %s%s\n", seconds(trouble.at).c_str(), trouble.text.c_str(), trouble.lasts > base::Micros{0} ? (" for " + seconds(trouble.lasts)).c_str() : "");
     return kGood;
@@ -150,7 +155,7 @@
         first = text;
         std::vector<config::Mistake> none;
         std::printf("setting: %s\n%s", trial.name.c_str(), day::to_text(replay::make_playable(day, trial, none).script, played.run).c_str());
-        std::printf("as recorded: service %.4f, worst 10 s %.4f\n", day.figures["whole_day"]["service"].get<double>(), day.figures["worst_10_s"].get<double>());
+        if (day.kinds.contains("results")) std::printf("as recorded: service %.4f, worst 10 s %.4f\n", day.figures["whole_day"]["service"].get<double>(), day.figures["worst_10_s"].get<double>());
         if (args.json.empty()) continue;
         auto all = played.run.result;
         all["setting"] = trial.name;
@@ -162,6 +167,20 @@
     return broken || (differs && args.clock == "virtual") ? kRuleBroken : kGood;
 }
 
+int merge(const Args& args) {
+    replay::Merged merged;
+    try {
+        merged = replay::merge_recordings(args.files, args.file);
+    } catch (const std::runtime_error& wrong) {
+        throw Failure(kNoFile, wrong.what());
+    }
+    for (const auto& damage : merged.damage) std::fprintf(stderr, "byte %llu: %s\n", static_cast<unsigned long long>(damage.at), damage.what.c_str());
+    std::printf("%s: %llu invocations, %llu moves\n", args.file.c_str(), static_cast<unsigned long long>(merged.invocations),
+                static_cast<unsigned long long>(merged.moves));
+    for (const auto& note : merged.notes) std::printf("  %s\n", note.c_str());
+    return kGood;
+}
+
 bool ends_with(const std::string& text, const std::string& end) {
     return text.size() >= end.size() && text.compare(text.size() - end.size(), end.size(), end) == 0;
 }
@@ -240,6 +259,11 @@
     sub->add_option("--json", args->json, "Write the figures here");
     sub->callback([args, &chosen] { chosen = [args] { return run(*args); }; });
 
+    auto* one = replay->add_subcommand("merge", "Make one day out of what governors recorded (governor --record)");
+    one->add_option("OUT", args->file, "The day to be written")->required();
+    one->add_option("FILES", args->files, "The governors' recordings, one a life")->required();
+    one->callback([args, &chosen] { chosen = [args] { return merge(*args); }; });
+
     auto* both = replay->add_subcommand("compare", "The same day under two settings, each played twice or more");
     both->add_option("FILE", args->file, "The recording")->required();
     both->add_option("SETTINGS", args->settings, "Two INI files; 'recorded' for the recording's own")->required()->expected(2);
--- a/src/governor/service.h
+++ b/src/governor/service.h
@@ -54,6 +54,7 @@
     void watch(Watcher& watcher);
     const std::string& id() const { return config_.id; }
     const std::string& life() const { return life_; }
+    int ordinal() const { return config_.told.ordinal; }
     // Names behind the module's numbers; empty where there is none.
     std::string forwarder_name(ProxyId proxy) const;
     std::string server_name(ServerId server) const;
--- a/src/replay/compare.cpp
+++ b/src/replay/compare.cpp
@@ -181,9 +181,10 @@
 std::string to_text(const RecordedDay& day, const Comparison& comparison) {
     std::ostringstream out;
     out << std::fixed;
-    out << day.header.made_by() << ", " << day.invocations << " invocations; as recorded: service ";
+    out << day.header.made_by() << ", " << day.invocations << " invocations";
     out.precision(4);
-    out << day.figures["whole_day"]["service"].get<double>() << "\n";
+    if (day.kinds.contains("results")) out << "; as recorded: service " << day.figures["whole_day"]["service"].get<double>();
+    out << "\n";
     const auto setting = [&](const char* which, const SettingResult& s) {
         out << which << ": " << s.trial.name << ": " << s.runs << " runs, " << (s.same ? "the same to the byte" : "they DIFFER");
         if (!s.same) {
--- a/src/replay/recorded_day.cpp
+++ b/src/replay/recorded_day.cpp
@@ -207,7 +207,7 @@
     std::vector<config::Mistake> mistakes;
     out.settings = config::IniFile::parse(path, out.header.settings(), mistakes);
     out.script = without_settings(out.header.script());
-    if (out.header.script().empty()) throw std::runtime_error(path + ": holds no day: it was recorded by " + out.header.made_by());
+    if (out.header.script().empty()) throw std::runtime_error(path + ": holds no day, but what " + out.header.made_by() + " met: make a day of it with replay merge");
     auto script = day::parse_script(path, out.script, out.settings, mistakes);
     if (!mistakes.empty()) throw std::runtime_error(path + ": its settings can't be read: " + config::to_text(mistakes.front()));
     script.seed = out.header.seed();
--- a/src/replay/recorder.cpp
+++ b/src/replay/recorder.cpp
@@ -1,5 +1,8 @@
 #include "replay/recorder.h"
 
+#include <ctime>
+#include <filesystem>
+#include <iomanip>
 #include <sstream>
 
 #include "governor/service.h"
@@ -51,17 +54,20 @@
 }
 
 void Recorder::follow(day::World& world) {
-    world.on_move = [this](Micros now, bool opening, bool joined, const day::Move& move) { moved(now, opening, joined, move); };
+    world.on_move = [this](Micros now, bool opening, bool joined, const day::Move& move) {
+        write_move(writer_, now, {now, opening, joined, move});
+    };
     world.on_trouble = [this](Micros now, const day::Trouble& trouble) { struck(now, trouble); };
     world.governor_watcher = this;
 }
 
-void Recorder::moved(Micros now, bool opening, bool joined, const day::Move& move) {
-    auto& out = *writer_.add(now).mutable_move();
+void write_move(record::Writer& writer, Micros now, const day::TimedMove& timed) {
+    const day::Move& move = timed.what;
+    auto& out = *writer.add(now).mutable_move();
     out.set_kind(static_cast<std::uint32_t>(move.kind));
-    out.set_who(writer_.name(move.who));
+    out.set_who(writer.name(move.who));
     out.set_on(move.on), out.set_by(move.by), out.set_wait_us(move.wait.count()), out.set_text(move.text);
-    out.set_opening(opening), out.set_joined(joined);
+    out.set_opening(timed.opening), out.set_joined(timed.joined);
     if (move.kind == day::MoveKind::TroubleWorker) {
         auto& t = *out.mutable_trouble();
         t.set_hangs(move.trouble.hangs), t.set_errors(move.trouble.errors), t.set_slower(move.trouble.slower);
@@ -249,6 +255,54 @@
     }
 }
 
+// ---- each governor for itself
+
+namespace {
+// The day's own clock as a wall clock would show it.
+std::string wall_text(Micros t) {
+    const std::time_t seconds = t.count() / 1000000;
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::ostringstream out;
+    out << std::put_time(&parts, "%Y-%m-%dT%H:%M:%S") << "." << std::setw(6) << std::setfill('0') << t.count() % 1000000 << "Z";
+    return out.str();
+}
+}  // namespace
+
+GovernorFiles::GovernorFiles(std::string folder, const day::DayScript& script, std::map<std::string, Micros> ahead)
+    : folder_(std::move(folder)), script_(script), ahead_(std::move(ahead)) {}
+
+void GovernorFiles::started(Micros now, const governor::Service& service) {
+    auto settings = script_.settings;
+    settings.set("governor", "id", service.id());
+    settings.set("governor", "ordinal", std::to_string(service.ordinal()));
+    auto config = script_.governor;
+    config.id = service.id();
+    paths_.push_back((std::filesystem::path(folder_) / (service.id() + "-" + std::to_string(paths_.size()) + ".rec")).string());
+    const auto it = ahead_.find(service.id());
+    const Micros begin = it == ahead_.end() ? now : now - it->second;
+    Open& open = open_[service.id()];
+    open.writer = std::make_unique<record::Writer>(record::file_sink(paths_.back()), header_of(config, settings.to_text(), begin, wall_text(begin)),
+                                                   record::WriterOptions{.when_full = record::WhenFull::Wait});
+    open.recorder = std::make_unique<Recorder>(*open.writer);
+    open.recorder->started(now, service);
+}
+
+void GovernorFiles::stopped(Micros now, const governor::Service& service) {
+    const auto it = open_.find(service.id());
+    if (it == open_.end()) return;
+    it->second.recorder->stopped(now, service);
+    open_.erase(it);
+}
+
+void GovernorFiles::told(Micros now, const governor::Service& service, const Event& event) {
+    if (const auto it = open_.find(service.id()); it != open_.end()) it->second.recorder->told(now, service, event);
+}
+
+void GovernorFiles::decided(Micros now, const governor::Service& service, const std::vector<Action>& actions) {
+    if (const auto it = open_.find(service.id()); it != open_.end()) it->second.recorder->decided(now, service, actions);
+}
+
 // ---- in words
 
 std::string to_text(const governor::Service& service, const Event& event) {
--- a/src/replay/recorder.h
+++ b/src/replay/recorder.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -23,6 +24,9 @@
 // How a try ended that its forwarder gave up with its client: behind standin::TryEnd's own.
 inline constexpr std::uint32_t kGivenUp = 100;
 
+// One move of the world; `now` is of the writer's clock, the move's own time is not looked at.
+void write_move(record::Writer& writer, Micros now, const day::TimedMove& move);
+
 class Recorder final : public standin::Observer, public governor::Watcher {
 public:
     explicit Recorder(record::Writer& writer) : writer_(writer) {}
@@ -50,7 +54,6 @@
         Micros sent{};
         int operation = 0, number = 0;
     };
-    void moved(Micros now, bool opening, bool joined, const day::Move& move);
     void struck(Micros now, const day::Trouble& trouble);
     void write_try(Micros now, const std::string& forwarder, std::uint64_t invocation, const OpenTry& one, std::uint32_t end);
 
@@ -59,6 +62,31 @@
     std::map<std::pair<std::uint64_t, std::string>, OpenTry> tries_;
 };
 
+// Records each life of each governor of a day in a file of its own, GOVERNOR-N.rec, as the governors themselves would.
+class GovernorFiles final : public governor::Watcher {
+public:
+    // `ahead`: how far a governor's clock is ahead of the day's.
+    GovernorFiles(std::string folder, const day::DayScript& script, std::map<std::string, Micros> ahead = {});
+    void started(Micros, const governor::Service&) override;
+    void stopped(Micros, const governor::Service&) override;
+    void told(Micros, const governor::Service&, const Event&) override;
+    void decided(Micros, const governor::Service&, const std::vector<Action>&) override;
+    // Ends those that still run.
+    void close() { open_.clear(); }
+    const std::vector<std::string>& paths() const { return paths_; }
+
+private:
+    struct Open {
+        std::unique_ptr<record::Writer> writer;
+        std::unique_ptr<Recorder> recorder;
+    };
+    std::string folder_;
+    const day::DayScript& script_;
+    std::map<std::string, Micros> ahead_;
+    std::map<std::string, Open> open_;
+    std::vector<std::string> paths_;
+};
+
 // What the module heard or decided, in words; names as the governor has them.
 std::string to_text(const governor::Service& service, const Event& event);
 std::string to_text(const governor::Service& service, const Action& action);
--- a/src/replay/report.cpp
+++ b/src/replay/report.cpp
@@ -145,8 +145,10 @@
            "</style></head><body>\n";
     out << "<h1>" << escaped(day.header.made_by()) << " under two settings</h1>\n<p>" << day.invocations << " invocations recorded, "
         << digits(in_seconds(day.length), false) << " s, seed " << day.header.seed() << ". Service is the billed value answered within the latency objective, "
-           "by part of that asked for; a retry counts with its first try. As recorded: <b>" << digits(day.figures["whole_day"]["service"].get<double>(), true)
-        << "</b>. The workers, forwarders and clients of this replay are stand-ins; the governors are the program's own.</p>\n";
+           "by part of that asked for; a retry counts with its first try.";
+    if (day.kinds.contains("results")) out << " As recorded: <b>" << digits(day.figures["whole_day"]["service"].get<double>(), true) << "</b>.";
+    for (const auto& note : day.header.notes()) out << " (" << escaped(note) << ")";
+    out << " The workers, forwarders and clients of this replay are stand-ins; the governors are the program's own.</p>\n";
     const auto setting = [&](const char* which, const SettingResult& s) {
         out << "<p><span class=\"" << which << "\">" << (which[0] == 'a' ? "A" : "B") << "</span>: <code>" << escaped(s.trial.name) << "</code>, " << s.runs
             << " runs: " << (s.same ? "the same to the byte" : "<b class=\"worse\">they differ</b>") << ".</p>\n";
--- a/tests/program/cli_test.cpp
+++ b/tests/program/cli_test.cpp
@@ -8,6 +8,9 @@
     EXPECT_EQ(Child({"governor", "--config", "/no/such/file.ini"}).wait(), 4);
     EXPECT_EQ(Child({"check-config", temporary("bad.ini", "[governor]\nzones = a\n")}).wait(), 2);
     EXPECT_EQ(Child({"no-such-command"}).wait(), 2);
+    EXPECT_EQ(Child({"replay", "info", "/no/such/file"}).wait(), 4);
+    EXPECT_EQ(Child({"replay", "verify", temporary("no.rec", "no recording")}).wait(), 4);
+    EXPECT_EQ(Child({"governor", "--config", temporary("r.ini", settings_file("127.0.0.1:0", "127.0.0.1:1")), "--record", "/no/such/dir/x"}).wait(), 4);
     EXPECT_EQ(Child({"--help"}).wait(), 0);
     EXPECT_EQ(Child({"day", "run", temporary("bad.day", "length 60\n")}).wait(), 2);
     EXPECT_EQ(Child({"check-config", BADGERGRADE_SOURCE "/examples/governor.ini"}).wait(), 0);
@@ -38,8 +41,11 @@
     const std::string a = one.after("ready on "), b = two.after("ready on ");
     Child registry({"standin", "registry", "--listen", "127.0.0.1:0", "--servers",
                     temporary("servers", "w1 bang-na " + a + "\nw2 samrong " + b + " # two\n")});
-    const std::string ini = temporary("g.ini", settings_file("127.0.0.1:0", registry.after("ready on ")));
-    Child governor({"governor", "--config", ini});
+    std::string settings = settings_file("127.0.0.1:0", registry.after("ready on "));
+    settings.replace(settings.find("period = 2 s"), 12, "period = 200 ms");
+    const std::string ini = temporary("g.ini", settings);
+    const std::string recording = temporary("met.rec", "");
+    Child governor({"governor", "--config", ini, "--record", recording});
     Child forwarder({"standin", "forwarder", "--id", "f1", "--zone", "bang-na", "--settings", ini, "--governor", governor.after("xds="),
                      "--startup", a});
     const std::string at = forwarder.after("ready on ");
@@ -55,6 +61,16 @@
         child->signal(SIGTERM);
         EXPECT_EQ(child->wait(), 0);
     }
+    // What it met was recorded whole, and a day can be made of it and played.
+    EXPECT_EQ(Child({"replay", "verify", recording}).wait(), 0);
+    Child info({"replay", "info", recording});
+    EXPECT_EQ(info.wait(), 0);
+    EXPECT_NE(info.text().find("recorded by governor"), std::string::npos) << info.text();
+    const std::string day = temporary("day.rec", "");
+    Child merge({"replay", "merge", day, recording});
+    EXPECT_EQ(merge.wait(), 0) << merge.text();
+    EXPECT_EQ(Child({"replay", "run", day, "--runs", "2"}).wait(), 0);
+    EXPECT_EQ(Child({"replay", "run", recording}).wait(), 4);
 }
 
 }  // namespace
--- a/tests/program/replay_test.cpp
+++ b/tests/program/replay_test.cpp
@@ -6,7 +6,9 @@
 #include <fstream>
 #include <sstream>
 
+#include "governor/service.h"
 #include "replay/compare.h"
+#include "replay/merge.h"
 #include "replay/recorder.h"
 #include "replay/report.h"
 #include "support.h"
@@ -335,6 +337,82 @@
     EXPECT_THROW(load_recording(folder.file("bad")), std::runtime_error);
 }
 
+// ---- days put together from what governors heard
+
+day::DayRun record_governors(const day::DayScript& script, GovernorFiles& files) {
+    day::DayOptions options;
+    options.before = [&](day::World& world) { world.governor_watcher = &files; };
+    auto out = day::run_day(script, options);
+    files.close();
+    return out;
+}
+
+TEST(Merge, TwoGovernorsWithClocksApartMakeOneDayNearTheLivedOne) {
+    const Folder folder;
+    const auto script = short_day("governors 2\nset registry wait 500 ms\n");
+    GovernorFiles files(folder.file(""), script, {{"governor-1", 3700ms}});
+    const auto lived = record_governors(script, files);
+    ASSERT_EQ(files.paths().size(), 3u);  // governor-0 died once
+    const auto merged = merge_recordings(files.paths(), folder.file("day"));
+    ASSERT_EQ(merged.clocks.size(), 2u);
+    for (const auto& clock : merged.clocks) {
+        // A governor's own second life goes by its own wall clock.
+        if (clock.governor == "governor-1") {
+            EXPECT_GT(clock.exchanges, 0);
+            EXPECT_NEAR(static_cast<double>(clock.offset.count()), -3700e3, 50e3);
+        }
+    }
+    const auto day = load_recording(folder.file("day"));
+    EXPECT_NEAR(static_cast<double>(day.invocations), lived.result["figures"]["whole_day"]["invocations"].get<double>(), 0.25 * static_cast<double>(day.invocations));
+    int starts = 0, stops = 0, governor_stops = 0;
+    for (const auto& move : day.world.moves) {
+        starts += move.what.kind == day::MoveKind::StartWorker && move.what.on;
+        stops += move.what.kind == day::MoveKind::StopWorker;
+        governor_stops += move.what.kind == day::MoveKind::StopGovernor && !move.opening;
+    }
+    EXPECT_EQ(starts, 5);  // two that crashed and the lost site's three
+    EXPECT_EQ(stops, 5);
+    EXPECT_EQ(governor_stops, 1);
+    const auto played = play(day, trial(day, {}), {});
+    EXPECT_NEAR(played.run.result["figures"]["whole_day"]["service"].get<double>(), lived.result["figures"]["whole_day"]["service"].get<double>(), 0.15);
+    EXPECT_EQ(play(day, trial(day, {}), {}).run.result.dump(), played.run.result.dump());
+}
+
+TEST(Merge, ClocksAreAlignedByWhatBothHeardInOneOrder) {
+    const std::vector<HeardList> base{{1s, "a", {}}, {2s, "ab", {}}, {3s, "a", {}}, {9s, "abc", {}}};
+    std::vector<HeardList> other{{11s, "a", {}}, {12s + 40ms, "ab", {}}, {13s, "a", {}}, {19s, "abc", {}}};
+    auto clock = align(base, other);
+    EXPECT_EQ(clock.exchanges, 4);
+    EXPECT_EQ(clock.offset, -10s);
+    EXPECT_EQ(clock.spread, 40ms);
+    other.erase(other.begin() + 1);
+    EXPECT_EQ(align(base, other).exchanges, 3);
+    EXPECT_EQ(align(base, {{5s, "x", {}}}).exchanges, 0);
+    // A life that began late hears the list of the beginning again: that one alone would put it 8 s off.
+    const std::vector<HeardList> late{{0s, "a", {}}, {6s, "abc", {}}, {7s, "abcd", {}}};
+    auto longer = base;
+    longer.push_back({10s, "abcd", {}});
+    EXPECT_EQ(align(longer, late).offset, 3s);
+    // Starts that both heard of outweigh a list that merely looks alike.
+    EXPECT_EQ(align({{1s, "ab", {}}, {30s, "abc", {{"b", 28s}, {"c", 29s}}}}, {{0s, "ab", {{"b", -5s}, {"c", -4s}}}}).offset, 33s);
+}
+
+TEST(Merge, RefusesWhatBelongsToOtherFleetsOrHoldsNothing) {
+    const Folder folder;
+    const auto script = short_day();
+    record(script, folder.file("day"));
+    EXPECT_THROW(merge_recordings({folder.file("day")}, folder.file("out")), std::runtime_error);  // a whole day already
+    auto config = script.governor;
+    { record::Writer empty(record::file_sink(folder.file("empty")), header_of(config, script.settings.to_text(), 0us, "2026-11-30T08:00:00.5Z")); }
+    EXPECT_THROW(merge_recordings({folder.file("empty")}, folder.file("out")), std::runtime_error);
+    auto other = script.settings;
+    other.set("governor", "zones", "east, west");
+    other.set("governor", "zone", "east");
+    { record::Writer empty(record::file_sink(folder.file("other")), header_of(config, other.to_text(), 0us, "2026-11-30T08:00:00.5Z")); }
+    EXPECT_THROW(merge_recordings({folder.file("empty"), folder.file("other")}, folder.file("out")), std::runtime_error);
+    EXPECT_THROW(load_recording(folder.file("empty")), std::runtime_error);
+}
+
 TEST(Replay, ReportsHoldTheirFiguresAndEscapeWhatTheyName) {
     const Folder folder;
     record(short_day(), folder.file("day"));
