--- a/src/record/writer.h
+++ b/src/record/writer.h
@@ -46,7 +46,7 @@
     Micros block_span = std::chrono::seconds(5);
     std::size_t blocks_waiting_most = 32;
     WhenFull when_full = WhenFull::Lose;
-    int level = 6;                           // zstd's
+    int level = 3;                           // zstd's
 };
 
 struct WriterFigures {
