--- a/src/cli/replay.cpp
+++ b/src/cli/replay.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 struct Args {
-    std::string file, json, config, from, to, lead, clock = "virtual";
+    std::string file, json, config, from, to, lead, clock = "virtual", log = "off";
     std::vector<std::string> sets, settings, reports, files;
     double speed = 1;
     std::uint64_t seed = 0;
@@ -135,6 +135,8 @@
     if (args.speed != 1 && options.clock == day::ClockKind::Virtual) throw Failure(kBadSettings, "--speed says something only with --clock real");
     options.speed = args.speed;
     if (args.seed > 0) options.seed = args.seed;
+    const std::map<std::string, log::Level> levels{{"off", log::Level::Off}, {"warning", log::Level::Warning}, {"info", log::Level::Info}, {"debug", log::Level::Debug}};
+    options.log = levels.at(args.log);
     options.from = time_of(args.from, "--from"), options.to = time_of(args.to, "--to");
     if (!args.lead.empty()) options.lead = time_of(args.lead, "--lead");
     bool broken = false, differs = false;
@@ -257,6 +259,7 @@
     add_span(sub);
     sub->add_option("--speed", args->speed, "The real clock so many times faster")->check(CLI::Range(0.1, 100.0));
     sub->add_option("--json", args->json, "Write the figures here");
+    sub->add_option("--log", args->log, "The governors' log lines: off, warning, info or debug")->check(CLI::IsMember({"off", "warning", "info", "debug"}))->capture_default_str();
     sub->callback([args, &chosen] { chosen = [args] { return run(*args); }; });
 
     auto* one = replay->add_subcommand("merge", "Make one day out of what governors recorded (governor --record)");
