Code that nobody called is gone from net and the stand-ins; tests share their folder and opening

Cause: the last read of the governor's rooms found parts of net, Registry and RegistryWatch without a caller, a private field unused (clang warned), and the same openings five times in the governor's tests.

Change: removed (HttpPool::close_all, open_tries, dialled, GrpcServer::stop_listening, Http1Parser::finish and midway, Http2Limits::queued_bytes, Registry::show_only); tests/folder.h and an Opening for the governor's tests.

--- a/src/governor/registry_watch.cpp
+++ b/src/governor/registry_watch.cpp
@@ -116,7 +116,7 @@
         return later("list doubted: " + finding.why);
     }
     failures_ = 0, whole_ = false;
-    registry_ = list.about.registry, index_ = list.about.index;
+    index_ = list.about.index;
     if (finding.verdict == ListCheck::Verdict::Take && on_list) on_list(list);
     if (!on_) return;
     // Answers at once, again and again, would make a busy loop of the watch.
--- a/src/governor/registry_watch.h
+++ b/src/governor/registry_watch.h
@@ -59,7 +59,6 @@
     ListCheck check_;
     net::HttpPool pool_;
     base::Timer again_;
-    std::string registry_;
     std::uint64_t index_ = 0;
     int failures_ = 0;
     bool on_ = false, whole_ = true;
--- a/src/net/grpc.h
+++ b/src/net/grpc.h
@@ -139,7 +139,6 @@
     // No connection can be taken for want of descriptors.
     void on_exhausted(std::function<void(std::string)> told) { listener_->on_trouble(std::move(told)); }
     Address address() const { return listener_->address(); }
-    void stop_listening() { listener_.reset(); }
     // All connections in order (true) or at once.
     void close(bool in_order);
     std::size_t connections() const { return connections_.size(); }
--- a/src/net/http1.cpp
+++ b/src/net/http1.cpp
@@ -49,8 +49,6 @@
     return error_.empty();
 }
 
-bool Http1Parser::finish() { return feed({}); }
-
 bool Http1Parser::grow_head(std::size_t size) {
     head_ += size;
     if (head_ <= limits_.head_bytes) return true;
@@ -60,7 +58,7 @@
 
 int Http1Parser::message_begin(http_parser* p) {
     Http1Parser& self = of(p);
-    self.now_ = {}, self.head_ = 0, self.in_value_ = false, self.midway_ = true;
+    self.now_ = {}, self.head_ = 0, self.in_value_ = false;
     return 0;
 }
 
@@ -112,7 +110,6 @@
 
 int Http1Parser::message_complete(http_parser* p) {
     Http1Parser& self = of(p);
-    self.midway_ = false;
     self.on_message_(std::exchange(self.now_, {}));
     return 0;
 }
--- a/src/net/http1.h
+++ b/src/net/http1.h
@@ -40,11 +40,7 @@
     // Feeds bytes; false where they are no HTTP or break a limit: then error() says what is wrong and no more
     // may be fed.
     bool feed(std::string_view bytes);
-    // The other side closed: ends a response whose length is "until close".
-    bool finish();
     const std::string& error() const { return error_; }
-    // Bytes of a message that is not whole yet have come.
-    bool midway() const { return midway_; }
 
 private:
     static int message_begin(http_parser* p);
@@ -62,7 +58,7 @@
     std::function<void(HttpMessage)> on_message_;
     HttpMessage now_;
     std::size_t head_ = 0;
-    bool in_value_ = false, midway_ = false;
+    bool in_value_ = false;
     std::string error_;
 };
 
--- a/src/net/http2.h
+++ b/src/net/http2.h
@@ -20,8 +20,6 @@
 struct Http2Limits {
     std::uint32_t streams = 100;
     std::uint32_t head_bytes = 16 * 1024;
-    // What a session may have queued for the other side before the owner gives it up.
-    std::size_t queued_bytes = 64 * 1024 * 1024;
     // Frames that cost us work and carry nothing: pings, settings, resets in a row without data between them.
     int idle_frames = 200;
 };
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -12,7 +12,7 @@
 
 HttpServer::HttpServer(Loop& loop, base::ActorId actor, std::string host, const Address& at, HttpLimits limits,
                        std::size_t connections_most)
-    : loop_(loop), limits_(limits), most_(connections_most),
+    : limits_(limits), most_(connections_most),
       listener_(std::make_unique<Listener>(loop, actor, std::move(host), at,
                                            [this](StreamPtr stream) { accept(std::move(stream)); })) {}
 
@@ -129,7 +129,6 @@
             return id;
         }
     now.fresh = true;
-    ++dialled_;
     now.dial = std::make_unique<Dial>(loop_, actor_, host_, to_, connect_timeout_,
                                       [this, id](StreamPtr stream, std::string why) {
                                           if (stream) return add_link(id, std::move(stream));
@@ -236,14 +235,6 @@
     if (done) done(std::move(outcome));
 }
 
-void HttpPool::close_all() {
-    while (!links_.empty()) {
-        const auto id = links_.begin()->first;
-        links_.begin()->second->feeding = false;
-        link_over(id, "closed here");
-    }
-}
-
 void HttpPool::retire() {
     retired_ = true;
     std::vector<std::uint64_t> idle;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -66,7 +66,6 @@
     void answer(std::uint64_t id, HttpMessage response);
     void drop(std::uint64_t id, bool abort);
 
-    Loop& loop_;
     HttpLimits limits_;
     std::size_t most_;
     std::uint64_t ids_ = 0;
@@ -100,11 +99,7 @@
     TryId send(HttpMessage request, Micros timeout, Done done);
     // Gives a try up: its connection is closed, `done` is not called.
     void cancel(TryId id);
-    std::size_t open_tries() const { return tries_.size(); }
     std::size_t connections() const { return links_.size(); }
-    std::uint64_t dialled() const { return dialled_; }
-    // Closes all; tries that are under way hear Broken.
-    void close_all();
     // Closes what is idle and every other connection when its try is over.
     void retire();
 
@@ -135,7 +130,7 @@
     std::string host_;
     Address to_;
     Micros connect_timeout_, idle_;
-    std::uint64_t ids_ = 0, dialled_ = 0;
+    std::uint64_t ids_ = 0;
     bool retired_ = false;
     std::map<TryId, std::unique_ptr<Try>> tries_;
     std::map<std::uint64_t, std::unique_ptr<Link>> links_;
--- a/src/standin/registry.cpp
+++ b/src/standin/registry.cpp
@@ -92,7 +92,6 @@
     json["registry"] = told.about.registry, json["index"] = index_;
     json["servers"] = nlohmann::json::array();
     for (const auto& [id, row] : instead_ ? *instead_ : rows_) {
-        if (told.servers.size() >= most_) break;
         governor::ListedServer listed = row.server;
         listed.age = row.started > Micros{0} ? std::max(Micros{1000}, loop_.clock().now() - row.started) : Micros{0};
         json["servers"].push_back({{"id", id},
--- a/src/standin/registry.h
+++ b/src/standin/registry.h
@@ -32,7 +32,6 @@
     void restart(bool keep_rows);
     // Answers with fewer servers, older indexes or garbage, as a day wants; empty: none of it.
     std::string garbage;
-    void show_only(std::size_t servers) { most_ = servers, changed(); }
     void go_back(std::uint64_t indexes) { index_ = index_ > indexes ? index_ - indexes : 1, answer_waiting(); }
     // Shows these rows in place of its own, as a copy that fell behind would; nothing: its own again.
     void show_instead(std::optional<std::map<std::string, Row>> rows) { instead_ = std::move(rows), changed(); }
@@ -58,7 +57,6 @@
     std::optional<std::map<std::string, Row>> instead_;
     std::vector<Waiting> waiting_;
     std::uint64_t index_ = 1, lives_ = 1;
-    std::size_t most_ = SIZE_MAX;
     bool hung_ = false;
 };
 
--- /dev/null
+++ b/tests/folder.h
@@ -0,0 +1,20 @@
+// A place of its own for a test's files, that goes away with the test.
+#pragma once
+
+#include <cstdlib>
+#include <filesystem>
+#include <string>
+
+namespace badgergrade::test {
+
+struct Folder {
+    Folder() {
+        std::string name = (std::filesystem::temp_directory_path() / "badgergrade-test-XXXXXX").string();
+        path = mkdtemp(name.data());
+    }
+    ~Folder() { std::filesystem::remove_all(path); }
+    std::string file(const std::string& name) const { return (std::filesystem::path(path) / name).string(); }
+    std::string path;
+};
+
+}  // namespace badgergrade::test
--- a/tests/program/governor_test.cpp
+++ b/tests/program/governor_test.cpp
@@ -61,11 +61,8 @@
 }
 
 TEST(Governor, AnAckWithAStaleNonceIsLeftAside) {
-    Stage stage;
-    stage.list_four();
-    stage.start();
-    Peer one(stage, "f1");
-    one.dial();
+    Opening at;
+    auto& [stage, one] = at;
     stage.run(2s);
     xds::AdsClient::Request stale;
     stale.set_type_url(std::string(xds::url(xds::Type::Endpoints)));
@@ -116,11 +113,8 @@
 
 // "A governor killed while a table is half sent", and started over: tables stay in force, then the new one's come.
 TEST(Governor, AForwarderKeepsItsTablesOverAGovernorsDeath) {
-    Stage stage;
-    stage.list_four();
-    stage.start();
-    Peer one(stage, "f1");
-    one.dial();
+    Opening at;
+    auto& [stage, one] = at;
     stage.run(3s);
     const auto before = one.ports("look");
     stage.registry->remove("a");
@@ -162,11 +156,8 @@
 
 // A half-open connection: the far side fell silent without an end.
 TEST(Governor, AHalfOpenConnectionIsNoticed) {
-    Stage stage;
-    stage.list_four();
-    stage.start();
-    Peer one(stage, "f1");
-    one.dial();
+    Opening at;
+    auto& [stage, one] = at;
     stage.run(1s);
     one.stream->pause_reading();  // answers no ping any more
     stage.run(10s);
@@ -231,11 +222,8 @@
 INSTANTIATE_TEST_SUITE_P(Kinds, GarbageOnXds, testing::Range(0, 6));
 
 TEST(Governor, MalformedProtobufEndsTheCallWithALine) {
-    Stage stage;
-    stage.list_four();
-    stage.start();
-    Peer one(stage, "f1");
-    one.dial();
+    Opening at;
+    auto& [stage, one] = at;
     stage.run(1s);
     one.call->send("\xff\xff\xff not a message");
     stage.run(100ms);
@@ -311,11 +299,8 @@
 // ---- the registry's bad hours
 
 TEST(Registry, AnEmptyListAfterAFullOneIsRefused) {
-    Stage stage;
-    stage.list_four();
-    stage.start();
-    Peer one(stage, "f1");
-    one.dial();
+    Opening at;
+    auto& [stage, one] = at;
     stage.run(2s);
     const auto before = one.ports("look");
     stage.registry->restart(false);
--- a/tests/program/replay_test.cpp
+++ b/tests/program/replay_test.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <sstream>
 
+#include "folder.h"
 #include "governor/service.h"
 #include "replay/compare.h"
 #include "replay/merge.h"
@@ -18,15 +19,7 @@
 
 using namespace std::chrono_literals;
 
-struct Folder {
-    Folder() {
-        std::string name = (std::filesystem::temp_directory_path() / "badgergrade-replay-XXXXXX").string();
-        path = mkdtemp(name.data());
-    }
-    ~Folder() { std::filesystem::remove_all(path); }
-    std::string file(const std::string& name) const { return (std::filesystem::path(path) / name).string(); }
-    std::string path;
-};
+using test::Folder;
 
 // A governor that dies, a cold return, a lost site and broken streams, in ten seconds.
 const char* const kShortDay = R"(settings governor.ini
--- a/tests/program/support.h
+++ b/tests/program/support.h
@@ -159,4 +159,15 @@
     bool silent = false;
 };
 
+// Four servers, a governor and one forwarder that dials it.
+struct Opening {
+    Opening() {
+        stage.list_four();
+        stage.start();
+        one.dial();
+    }
+    Stage stage;
+    Peer one{stage, "f1"};
+};
+
 }  // namespace badgergrade::test
--- a/tests/record/record_test.cpp
+++ b/tests/record/record_test.cpp
@@ -10,6 +10,7 @@
 #include <random>
 #include <sstream>
 
+#include "folder.h"
 #include "record/reader.h"
 
 namespace badgergrade::record {
@@ -17,16 +18,7 @@
 
 using namespace std::chrono_literals;
 
-// A place of its own that goes away with the test.
-struct Folder {
-    Folder() {
-        std::string name = (std::filesystem::temp_directory_path() / "badgergrade-record-XXXXXX").string();
-        path = mkdtemp(name.data());
-    }
-    ~Folder() { std::filesystem::remove_all(path); }
-    std::string file(const std::string& name) const { return (std::filesystem::path(path) / name).string(); }
-    std::string path;
-};
+using test::Folder;
 
 std::string bytes_of(const std::string& path) {
     std::ifstream in(path, std::ios::binary);
