--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "config/governor_config.h"
+#include "log/log.h"
 #include "net/network.h"
 
 namespace badgergrade::cli {
@@ -20,6 +21,14 @@
     Exit code;
 };
 
+// Tells each mistake and ends the command where there is any; `before` and `after` stand around their number.
+void end_where_wrong(const std::vector<config::Mistake>& mistakes, const std::string& before, const std::string& after = {});
+// Ends the command where the file can't be written.
+void write_text(const std::string& path, const std::string& text);
+// --log of days and replays, and the level that it names.
+void add_log_option(CLI::App& command, std::string& level);
+log::Level log_level(const std::string& name);
+
 config::GovernorConfig load_governor(const std::string& path);
 
 // Runs the loop until a signal to end comes; `on_signal` ends what runs in order, then the loop stops.
--- a/src/cli/common.cpp
+++ b/src/cli/common.cpp
@@ -1,11 +1,36 @@
 #include <asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
+#include <fstream>
+#include <map>
 
 #include "cli/cli.h"
 
 namespace badgergrade::cli {
 
+void end_where_wrong(const std::vector<config::Mistake>& mistakes, const std::string& before, const std::string& after) {
+    if (mistakes.empty()) return;
+    for (const auto& mistake : mistakes) std::fprintf(stderr, "%s\n", config::to_text(mistake).c_str());
+    throw Failure(kBadSettings, before + std::to_string(mistakes.size()) + (mistakes.size() == 1 ? " mistake" : " mistakes") + after);
+}
+
+void write_text(const std::string& path, const std::string& text) {
+    std::ofstream out(path, std::ios::binary);
+    out << text;
+    if (!out.flush()) throw Failure(kNoFile, path + ": can't be written");
+}
+
+namespace {
+const std::map<std::string, log::Level> kLevels{
+    {"off", log::Level::Off}, {"warning", log::Level::Warning}, {"info", log::Level::Info}, {"debug", log::Level::Debug}};
+}
+
+void add_log_option(CLI::App& command, std::string& level) {
+    command.add_option("--log", level, "off, warning, info or debug")->check(CLI::IsMember({"off", "warning", "info", "debug"}))->capture_default_str();
+}
+
+log::Level log_level(const std::string& name) { return kLevels.at(name); }
+
 config::GovernorConfig load_governor(const std::string& path) {
     std::vector<config::Mistake> mistakes;
     config::IniFile file;
@@ -15,10 +40,8 @@
         throw Failure(kNoFile, wrong.what());
     }
     auto config = config::read_governor(file, mistakes);
-    if (mistakes.empty()) return config;
-    for (const auto& mistake : mistakes) std::fprintf(stderr, "%s\n", config::to_text(mistake).c_str());
-    throw Failure(kBadSettings, path + ": " + std::to_string(mistakes.size()) +
-                                    (mistakes.size() == 1 ? " mistake" : " mistakes"));
+    end_where_wrong(mistakes, path + ": ");
+    return config;
 }
 
 void run_until_signal(net::Loop& loop, const std::function<void()>& on_signal) {
--- a/src/cli/day.cpp
+++ b/src/cli/day.cpp
@@ -1,5 +1,4 @@
 #include <cstdio>
-#include <fstream>
 #include <optional>
 
 #include "cli/cli.h"
@@ -24,30 +23,21 @@
     } catch (const std::runtime_error& wrong) {
         throw Failure(kNoFile, wrong.what());
     }
-    if (mistakes.empty()) return script;
-    for (const auto& mistake : mistakes) std::fprintf(stderr, "%s\n", config::to_text(mistake).c_str());
-    throw Failure(kBadSettings, path + ": " + std::to_string(mistakes.size()) + (mistakes.size() == 1 ? " mistake" : " mistakes"));
+    end_where_wrong(mistakes, path + ": ");
+    return script;
 }
 
-day::DayRun record_day(const day::DayScript& script, day::DayOptions options, const std::string& path) {
-    std::unique_ptr<record::Writer> writer;
-    std::unique_ptr<replay::Recorder> recorder;
+day::DayRun record(const day::DayScript& script, const day::DayOptions& options, const std::string& path) {
     record::WriterOptions how;
     // The virtual clock can wait for the disk; the real one can't.
     how.when_full = options.clock == day::ClockKind::Virtual ? record::WhenFull::Wait : record::WhenFull::Lose;
-    options.prepare = [&](base::Micros begin) {
-        try {
-            writer = std::make_unique<record::Writer>(record::file_sink(path), replay::header_of(script, begin), how);
-        } catch (const std::runtime_error& wrong) {
-            throw Failure(kNoFile, wrong.what());
-        }
-        recorder = std::make_unique<replay::Recorder>(*writer);
-        return std::vector<standin::Observer*>{recorder.get()};
-    };
-    options.before = [&](day::World& world) { recorder->follow(world); };
-    auto result = day::run_day(script, options);
-    writer->finish();
-    const auto figures = writer->figures();
+    record::WriterFigures figures;
+    day::DayRun result;
+    try {
+        result = replay::record_day(script, options, path, how, figures);
+    } catch (const record::CannotWrite& wrong) {
+        throw Failure(kNoFile, wrong.what());
+    }
     if (!figures.failed.empty()) throw Failure(kNoFile, figures.failed);
     result.machine["recorded"] = {{"records", figures.records}, {"bytes", figures.bytes}, {"lost", figures.lost}};
     return result;
@@ -58,8 +48,7 @@
     if (args.seed > 0) script.seed = args.seed;
     day::DayOptions options;
     options.clock = args.real ? day::ClockKind::Real : day::ClockKind::Virtual;
-    const std::map<std::string, log::Level> levels{{"off", log::Level::Off}, {"warning", log::Level::Warning}, {"info", log::Level::Info}, {"debug", log::Level::Debug}};
-    options.log = levels.at(args.log);
+    options.log = log_level(args.log);
     bool broken = false, differs = false;
     std::string first;
     for (int n = 0; n < args.runs; ++n) {
@@ -70,7 +59,7 @@
         } else {
             options.before = {};
         }
-        const auto result = n == 0 && !args.record.empty() ? record_day(script, options, args.record) : day::run_day(script, options);
+        const auto result = n == 0 && !args.record.empty() ? record(script, options, args.record) : day::run_day(script, options);
         const std::string text = result.result.dump(1);
         if (n == 0) first = text;
         differs = differs || text != first;
@@ -79,11 +68,9 @@
         if (n == 0 && !args.quiet) std::printf("%s", day::to_text(script, result).c_str());
         if (n > 0) continue;
         if (!args.json.empty()) {
-            std::ofstream out(args.json);
             nlohmann::ordered_json all = result.result;
             all["machine"] = result.machine;
-            out << all.dump(1) << "\n";
-            if (!out) throw Failure(kNoFile, args.json + ": can't be written");
+            write_text(args.json, all.dump(1) + "\n");
         }
     }
     if (args.runs > 1) std::printf("%d runs: %s\n", args.runs, differs ? "they DIFFER" : "the same to the byte");
@@ -105,7 +92,7 @@
     sub->add_option("--record", args->record, "Record the first run here");
     sub->add_option("--record-governors", args->governors, "Record in this folder what each governor of the first run met")->check(CLI::ExistingDirectory)->excludes("--record");
     sub->add_option("--runs", args->runs, "Play it so often and compare")->check(CLI::Range(1, 1000));
-    sub->add_option("--log", args->log, "off, warning, info or debug")->check(CLI::IsMember({"off", "warning", "info", "debug"}))->capture_default_str();
+    add_log_option(*sub, args->log);
     sub->add_flag("--quiet", args->quiet, "No text");
     sub->callback([args, clock, &chosen] {
         args->real = *clock == "real";
--- a/src/cli/replay.cpp
+++ b/src/cli/replay.cpp
@@ -1,5 +1,4 @@
 #include <cstdio>
-#include <fstream>
 
 #include "cli/cli.h"
 #include "replay/merge.h"
@@ -18,12 +17,6 @@
     int runs = 1;
 };
 
-std::string seconds(base::Micros t) {
-    char text[32];
-    std::snprintf(text, sizeof text, "%.3f s", static_cast<double>(t.count()) / 1e6);
-    return text;
-}
-
 record::Reader open_recording(const std::string& path) {
     try {
         return record::Reader(path);
@@ -47,12 +40,6 @@
     if (day.lost > 0) std::fprintf(stderr, "%s: %llu records were lost while it was recorded\n", day.path.c_str(), static_cast<unsigned long long>(day.lost));
 }
 
-void write_json(const std::string& path, const nlohmann::ordered_json& what) {
-    std::ofstream out(path);
-    out << what.dump(1) << "\n";
-    if (!out.flush()) throw Failure(kNoFile, path + ": can't be written");
-}
-
 base::Micros time_of(const std::string& text, const char* what) {
     if (text.empty()) return base::Micros{0};
     std::string why;
@@ -61,10 +48,24 @@
     return *out;
 }
 
-void end_where_wrong(const std::vector<config::Mistake>& mistakes) {
-    if (mistakes.empty()) return;
-    for (const auto& mistake : mistakes) std::fprintf(stderr, "%s\n", config::to_text(mistake).c_str());
-    throw Failure(kBadSettings, std::to_string(mistakes.size()) + (mistakes.size() == 1 ? " mistake" : " mistakes") + "; nothing was played");
+// What both of run and compare take.
+replay::PlayOptions play_options(const Args& args) {
+    replay::PlayOptions out;
+    out.clock = args.clock == "real" ? day::ClockKind::Real : day::ClockKind::Virtual;
+    out.from = time_of(args.from, "--from"), out.to = time_of(args.to, "--to");
+    if (!args.lead.empty()) out.lead = time_of(args.lead, "--lead");
+    if (args.seed > 0) out.seed = args.seed;
+    return out;
+}
+
+struct Contents {
+    std::uint64_t records = 0, lost = 0;
+    base::Micros last{};
+};
+Contents contents_of(const record::Reader& reader) {
+    Contents out;
+    for (const auto& block : reader.blocks()) out.records += block.records, out.lost += block.lost, out.last = std::max(out.last, block.last);
+    return out;
 }
 
 int info(const std::string& path) {
@@ -72,11 +73,9 @@
     const auto& header = reader.header();
     std::printf("%s: recorded by %s, format %u, seed %llu%s%s\n", path.c_str(), header.made_by().c_str(), header.format(),
                 static_cast<unsigned long long>(header.seed()), header.wall_begin().empty() ? "" : ", begun ", header.wall_begin().c_str());
-    std::uint64_t records = 0, lost = 0;
-    base::Micros last{};
-    for (const auto& block : reader.blocks()) records += block.records, lost += block.lost, last = std::max(last, block.last);
+    const auto [records, lost, last] = contents_of(reader);
     std::printf("%llu bytes, %zu blocks, %llu records over %s, %llu lost while recording, %s\n", static_cast<unsigned long long>(reader.bytes()),
-                reader.blocks().size(), static_cast<unsigned long long>(records), seconds(last).c_str(), static_cast<unsigned long long>(lost),
+                reader.blocks().size(), static_cast<unsigned long long>(records), day::in_seconds(last).c_str(), static_cast<unsigned long long>(lost),
                 reader.finished() ? "ended in order" : "not ended in order");
     for (const auto& note : header.notes()) std::printf("  %s\n", note.c_str());
     if (header.script().empty()) {
@@ -90,20 +89,18 @@
         std::printf("%.1f bytes an invocation, all records counted in\n", static_cast<double>(reader.bytes()) / static_cast<double>(day.invocations));
     if (day.kinds.contains("results")) std::printf("service as recorded: %.4f, worst 10 s %.4f\n", day.figures["whole_day"]["service"].get<double>(), day.figures["worst_10_s"].get<double>());
     for (const auto& trouble : day.troubles)
-        std::printf("  at %s %s%s\n", seconds(trouble.at).c_str(), trouble.text.c_str(), trouble.lasts > base::Micros{0} ? (" for " + seconds(trouble.lasts)).c_str() : "");
+        std::printf("  at %s %s%s\n", day::in_seconds(trouble.at).c_str(), trouble.text.c_str(), trouble.lasts > base::Micros{0} ? (" for " + day::in_seconds(trouble.lasts)).c_str() : "");
     return kGood;
 }
 
 int verify(const std::string& path) {
     auto reader = open_recording(path);
     reader.scan();
-    std::uint64_t records = 0;
-    base::Micros last{};
-    for (const auto& block : reader.blocks()) records += block.records, last = std::max(last, block.last);
+    const auto [records, lost, last] = contents_of(reader);
     for (const auto& damage : reader.damage())
         std::printf("%s: byte %llu: %s\n", path.c_str(), static_cast<unsigned long long>(damage.at), damage.what.c_str());
     std::printf("%s: %zu whole blocks, %llu records to %s, %s\n", path.c_str(), reader.blocks().size(), static_cast<unsigned long long>(records),
-                seconds(last).c_str(), reader.damage().empty() ? "all of it whole" : "DAMAGED");
+                day::in_seconds(last).c_str(), reader.damage().empty() ? "all of it whole" : "DAMAGED");
     return reader.damage().empty() ? kGood : kRuleBroken;
 }
 
@@ -122,7 +119,7 @@
         sets.push_back(*set);
     }
     auto out = replay::read_trial(day, file, sets, mistakes);
-    end_where_wrong(mistakes);
+    end_where_wrong(mistakes, "", "; nothing was played");
     return out;
 }
 
@@ -130,15 +127,9 @@
     const auto day = load(args.file);
     warn_of_damage(day);
     const auto trial = trial_of(day, args.config, args.sets);
-    replay::PlayOptions options;
-    options.clock = args.clock == "real" ? day::ClockKind::Real : day::ClockKind::Virtual;
+    auto options = play_options(args);
     if (args.speed != 1 && options.clock == day::ClockKind::Virtual) throw Failure(kBadSettings, "--speed says something only with --clock real");
-    options.speed = args.speed;
-    if (args.seed > 0) options.seed = args.seed;
-    const std::map<std::string, log::Level> levels{{"off", log::Level::Off}, {"warning", log::Level::Warning}, {"info", log::Level::Info}, {"debug", log::Level::Debug}};
-    options.log = levels.at(args.log);
-    options.from = time_of(args.from, "--from"), options.to = time_of(args.to, "--to");
-    if (!args.lead.empty()) options.lead = time_of(args.lead, "--lead");
+    options.speed = args.speed, options.log = log_level(args.log);
     bool broken = false, differs = false;
     std::string first;
     for (int n = 0; n < args.runs; ++n) {
@@ -155,15 +146,14 @@
             continue;
         }
         first = text;
-        std::vector<config::Mistake> none;
-        std::printf("setting: %s\n%s", trial.name.c_str(), day::to_text(replay::make_playable(day, trial, none).script, played.run).c_str());
+        std::printf("setting: %s\n%s", trial.name.c_str(), day::to_text(played.script, played.run).c_str());
         if (day.kinds.contains("results")) std::printf("as recorded: service %.4f, worst 10 s %.4f\n", day.figures["whole_day"]["service"].get<double>(), day.figures["worst_10_s"].get<double>());
         if (args.json.empty()) continue;
         auto all = played.run.result;
         all["setting"] = trial.name;
         all["recorded"] = day.figures;
         all["machine"] = played.run.machine;
-        write_json(args.json, all);
+        write_text(args.json, all.dump(1) + "\n");
     }
     if (args.runs > 1) std::printf("%d runs: %s\n", args.runs, differs ? "they DIFFER" : "the same to the byte");
     return broken || (differs && args.clock == "virtual") ? kRuleBroken : kGood;
@@ -183,41 +173,27 @@
     return kGood;
 }
 
-bool ends_with(const std::string& text, const std::string& end) {
-    return text.size() >= end.size() && text.compare(text.size() - end.size(), end.size(), end) == 0;
-}
-
-void write_text(const std::string& path, const std::string& text) {
-    std::ofstream out(path, std::ios::binary);
-    out << text;
-    if (!out.flush()) throw Failure(kNoFile, path + ": can't be written");
-}
-
 void write_report(const std::string& path, const replay::RecordedDay& day, const replay::Comparison& comparison) {
-    if (ends_with(path, ".json")) return write_json(path, replay::to_json(day, comparison));
+    if (path.ends_with(".json")) return write_text(path, replay::to_json(day, comparison).dump(1) + "\n");
     std::string svg;
     try {
         svg = replay::draw_svg(day, comparison);
     } catch (const std::runtime_error& wrong) {
         throw Failure(kNoFile, path + ": " + wrong.what());
     }
-    write_text(path, ends_with(path, ".svg") ? svg : replay::html_page(day, comparison, svg));
+    write_text(path, path.ends_with(".svg") ? svg : replay::html_page(day, comparison, svg));
 }
 
 int compare(const Args& args) {
     for (const auto& path : args.reports)
-        if (!ends_with(path, ".json") && !ends_with(path, ".svg") && !ends_with(path, ".html"))
+        if (!path.ends_with(".json") && !path.ends_with(".svg") && !path.ends_with(".html"))
             throw Failure(kBadSettings, "--report " + path + ": its name ends in .html, .svg or .json");
     const auto day = load(args.file);
     warn_of_damage(day);
     // "recorded" stands for the settings of the recording itself.
     const auto trial = [&](const std::string& path) { return trial_of(day, path == "recorded" ? "" : path, {}); };
     const auto a = trial(args.settings.at(0)), b = trial(args.settings.at(1));
-    replay::PlayOptions options;
-    options.from = time_of(args.from, "--from"), options.to = time_of(args.to, "--to");
-    if (!args.lead.empty()) options.lead = time_of(args.lead, "--lead");
-    if (args.seed > 0) options.seed = args.seed;
-    options.clock = args.clock == "real" ? day::ClockKind::Real : day::ClockKind::Virtual;
+    const auto options = play_options(args);
     replay::Comparison comparison;
     try {
         comparison = replay::compare(day, a, b, std::max(2, args.runs), options);
@@ -259,7 +235,7 @@
     add_span(sub);
     sub->add_option("--speed", args->speed, "The real clock so many times faster")->check(CLI::Range(0.1, 100.0));
     sub->add_option("--json", args->json, "Write the figures here");
-    sub->add_option("--log", args->log, "The governors' log lines: off, warning, info or debug")->check(CLI::IsMember({"off", "warning", "info", "debug"}))->capture_default_str();
+    add_log_option(*sub, args->log);
     sub->callback([args, &chosen] { chosen = [args] { return run(*args); }; });
 
     auto* one = replay->add_subcommand("merge", "Make one day out of what governors recorded (governor --record)");
--- a/src/day/auditor.cpp
+++ b/src/day/auditor.cpp
@@ -14,16 +14,17 @@
 constexpr std::size_t kBreaksKept = 100;
 
 double part(Micros a, Micros b) { return b > 0us ? static_cast<double>(a.count()) / static_cast<double>(b.count()) : 0; }
+std::string key_of(const governor::ListedServer& listed) {
+    return listed.incarnation.empty() ? listed.id : listed.id + "/" + listed.incarnation;
+}
+}  // namespace
+
 std::string in_seconds(Micros t) {
     std::ostringstream out;
     out.precision(3);
     out << std::fixed << static_cast<double>(t.count()) / 1e6 << " s";
     return out.str();
 }
-std::string key_of(const governor::ListedServer& listed) {
-    return listed.incarnation.empty() ? listed.id : listed.id + "/" + listed.incarnation;
-}
-}  // namespace
 
 Auditor::Auditor(base::Clock& clock, const config::GovernorConfig& config)
     : clock_(clock), config_(config), tick_(clock, base::ActorId{1}) {
--- a/src/day/auditor.h
+++ b/src/day/auditor.h
@@ -24,6 +24,12 @@
 
 namespace badgergrade::day {
 
+// The five rules, by name.
+inline constexpr const char* kRules[] = {"bare", "effect", "drain", "cold", "queue"};
+
+// "24.906 s".
+std::string in_seconds(base::Micros t);
+
 struct RuleBreak {
     std::string rule;
     Micros when{};
--- a/src/day/runner.cpp
+++ b/src/day/runner.cpp
@@ -20,7 +20,7 @@
 ordered_json rules_json(const Auditor& auditor, Micros begin) {
     ordered_json out;
     const auto margins = auditor.margins();
-    for (const char* rule : {"bare", "effect", "drain", "cold", "queue"})
+    for (const char* rule : kRules)
         out[rule] = {{"kept", auditor.broken(rule) == 0}, {"broken", auditor.broken(rule)}, {"checked", auditor.checked(rule)}};
     out["nearest"] = {{"bare", rounded(margins.bare)}, {"drain", rounded(margins.drain)}, {"lines", rounded(margins.lines)}, {"messages", rounded(margins.messages)}};
     out["breaks"] = ordered_json::array();
@@ -105,7 +105,7 @@
     out << "list change to applied: p50 " << applied["p50"].get<double>() << " ms, p99 " << applied["p99"].get<double>() << " ms\n";
     out << "servers: " << f["servers"]["starts"] << " starts, " << f["servers"]["pushed_over"] << " pushed over\n";
     out << "rules:";
-    for (const char* rule : {"bare", "effect", "drain", "cold", "queue"}) {
+    for (const char* rule : kRules) {
         const auto& r = run.result["rules"][rule];
         out << " " << rule << (r["kept"].get<bool>() ? " kept" : " BROKEN") << " (" << r["checked"] << " looked at)";
     }
--- a/src/record/writer.cpp
+++ b/src/record/writer.cpp
@@ -16,7 +16,7 @@
 class FileSink final : public Sink {
 public:
     explicit FileSink(const std::string& path) : path_(path), file_(std::fopen(path.c_str(), "wb"), &std::fclose) {
-        if (!file_) throw std::runtime_error(path + ": can't be made: " + std::strerror(errno));
+        if (!file_) throw CannotWrite(path + ": can't be made: " + std::strerror(errno));
     }
     bool write(std::string_view bytes, std::string& why) override {
         // Flushed each time: what a crash leaves behind ends at a whole block.
@@ -36,15 +36,15 @@
 }  // namespace
 
 Span span_of(const pb::Block& block) {
-    Micros at(block.first_us());
-    Span out{at, at};
-    for (const auto& record : block.records()) {
-        at += Micros(record.after_us());
-        out.first = std::min(out.first, at), out.last = std::max(out.last, at);
-    }
+    Span out{Micros(block.first_us()), Micros(block.first_us())};
+    each_record(block, [&](Micros at, const pb::Record&) { out.first = std::min(out.first, at), out.last = std::max(out.last, at); });
     return out;
 }
 
+std::string name_in(const pb::Block& block, std::uint32_t number) {
+    return number == 0 || number > static_cast<std::uint32_t>(block.names_size()) ? std::string{} : block.names(static_cast<int>(number) - 1);
+}
+
 std::unique_ptr<Sink> file_sink(const std::string& path) { return std::make_unique<FileSink>(path); }
 
 Writer::Writer(std::unique_ptr<Sink> sink, const pb::Header& header, WriterOptions options)
@@ -53,7 +53,7 @@
     told.set_format(kFormat);
     const std::string frame = pack_frame(FrameKind::Header, told.SerializeAsString(), options_.level);
     std::string why;
-    if (!sink_->write(frame, why)) throw std::runtime_error(why);
+    if (!sink_->write(frame, why)) throw CannotWrite(why);
     at_ = figures_.bytes = frame.size();
     thread_ = std::thread([this] { run(); });
 }
@@ -92,13 +92,13 @@
     if (!open_) return;
     names_.clear();
     size_ = 0, last_id_ = 0;
-    put(std::move(open_));
+    put(std::move(open_), options_.when_full);
 }
 
-void Writer::put(std::unique_ptr<pb::Block> block) {
+void Writer::put(std::unique_ptr<pb::Block> block, WhenFull when_full) {
     std::unique_lock lock(mutex_);
     const auto count = static_cast<std::uint64_t>(block->records_size());
-    if (options_.when_full == WhenFull::Wait)
+    if (when_full == WhenFull::Wait)
         room_.wait(lock, [this] { return waiting_.size() < options_.blocks_waiting_most || !figures_.failed.empty(); });
     if (waiting_.size() >= options_.blocks_waiting_most || !figures_.failed.empty()) {
         if (lost_ == 0) lost_from_ = Micros(block->first_us());
@@ -167,10 +167,7 @@
         // Told in a block of its own: nothing comes after.
         auto last = std::make_unique<pb::Block>();
         last->set_first_us(last_.count());
-        std::unique_lock lock(mutex_);
-        room_.wait(lock, [this] { return waiting_.size() < options_.blocks_waiting_most || !figures_.failed.empty(); });
-        lock.unlock();
-        put(std::move(last));
+        put(std::move(last), WhenFull::Wait);
     }
     {
         const std::lock_guard lock(mutex_);
--- a/src/record/writer.h
+++ b/src/record/writer.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -30,7 +31,11 @@
     virtual bool write(std::string_view bytes, std::string& why) = 0;
 };
 
-// Throws std::runtime_error when the file can't be made.
+struct CannotWrite : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+// Throws CannotWrite when the file can't be made.
 std::unique_ptr<Sink> file_sink(const std::string& path);
 
 // The earliest and the latest time in a block; a clock may have gone back in it.
@@ -38,6 +43,13 @@
     Micros first{}, last{};
 };
 Span span_of(const pb::Block& block);
+// Each record with its time, and a name by its number (empty for 0 and for a number that the block does not hold).
+template <class Take>
+void each_record(const pb::Block& block, const Take& take) {
+    Micros at(block.first_us());
+    for (const auto& record : block.records()) take(at += Micros(record.after_us()), record);
+}
+std::string name_in(const pb::Block& block, std::uint32_t number);
 
 enum class WhenFull { Lose, Wait };
 
@@ -75,7 +87,7 @@
 
 private:
     void close_block();
-    void put(std::unique_ptr<pb::Block> block);
+    void put(std::unique_ptr<pb::Block> block, WhenFull when_full);
     void run();
     bool write(std::string_view bytes);
     void write_block(const pb::Block& block);
--- a/src/replay/compare.cpp
+++ b/src/replay/compare.cpp
@@ -12,14 +12,6 @@
 namespace {
 
 constexpr std::size_t kTextShown = 300;
-const char* const kRules[] = {"bare", "effect", "drain", "cold", "queue"};
-
-std::string seconds(Micros t) {
-    std::ostringstream out;
-    out.precision(3);
-    out << std::fixed << static_cast<double>(t.count()) / 1e6 << " s";
-    return out.str();
-}
 
 SettingResult play_often(const RecordedDay& day, const Trial& trial, int runs, const PlayOptions& options) {
     SettingResult out;
@@ -43,7 +35,7 @@
     if (!step) return "nothing more";
     std::string text = step->text.empty() ? "(text not kept)" : step->text;
     if (text.size() > kTextShown) text = text.substr(0, kTextShown) + " ...";
-    return seconds(step->at) + " " + step->governor + (decision ? " decided: " : " heard: ") + text;
+    return day::in_seconds(step->at) + " " + step->governor + (decision ? " decided: " : " heard: ") + text;
 }
 
 void put(std::vector<Difference>& out, const std::string& name, const ordered_json& a, const ordered_json& b, bool part) {
@@ -124,7 +116,7 @@
     put(out, "lines ordered", sum(fa, "lines"), sum(fb, "lines"), false);
     put(out, "messages ordered", sum(fa, "orders_applied"), sum(fb, "orders_applied"), false);
     put(out, "list change to applied p99, ms", fa["list_change_to_applied_ms"]["p99"], fb["list_change_to_applied_ms"]["p99"], false);
-    for (const char* rule : kRules) put(out, std::string("breaks of rule ") + rule, a["rules"][rule]["broken"], b["rules"][rule]["broken"], false);
+    for (const char* rule : day::kRules) put(out, std::string("breaks of rule ") + rule, a["rules"][rule]["broken"], b["rules"][rule]["broken"], false);
     return out;
 }
 
@@ -155,7 +147,7 @@
     const bool heard_first = comparison.heard && (!comparison.decided || comparison.heard->at() <= comparison.decided->at());
     const auto tell = [&](const std::optional<Parting>& parting, bool decision) {
         if (!parting) return;
-        out.push_back((decision ? "first other decision at " : "first heard otherwise at ") + seconds(parting->at()));
+        out.push_back((decision ? "first other decision at " : "first heard otherwise at ") + day::in_seconds(parting->at()));
         out.push_back("  A: " + shown(parting->a, decision));
         out.push_back("  B: " + shown(parting->b, decision));
     };
--- a/src/replay/merge.cpp
+++ b/src/replay/merge.cpp
@@ -116,14 +116,10 @@
     if (!mistakes.empty()) throw std::runtime_error(path + ": its settings can't be read: " + config::to_text(mistakes.front()));
     if (!out.header.script().empty()) throw std::runtime_error(path + ": holds a whole day already, recorded by " + out.header.made_by());
     reader.each(Micros::min(), Micros::max(), [&](const pb::Block& block) {
-        const auto name = [&](std::uint32_t n) {
-            return n == 0 || n > static_cast<std::uint32_t>(block.names_size()) ? std::string{} : block.names(static_cast<int>(n) - 1);
-        };
-        Micros at(block.first_us());
-        for (const auto& record : block.records()) {
-            at += Micros(record.after_us());
+        const auto name = [&](std::uint32_t n) { return record::name_in(block, n); };
+        record::each_record(block, [&](Micros at, const pb::Record& record) {
             out.last = std::max(out.last, at);
-            if (!record.has_told()) continue;
+            if (!record.has_told()) return;
             const auto& told = record.told();
             if (told.has_list()) {
                 std::vector<ListedRow> rows;
@@ -145,7 +141,7 @@
             } else if (told.has_applied()) {
                 out.way.push_back(Micros(told.applied().took_us()));
             }
-        }
+        });
     });
     for (const auto& one : reader.damage()) damage.push_back({one.at, path + ": " + one.what});
     return out;
@@ -210,11 +206,14 @@
                 if (!next || (runs && (!best_runs || life.last > next->last)) || (!runs && !best_runs && life.lists.front().first < next->lists.front().first))
                     next = &life;
             }
-            if (!next) return;
+            if (!next) break;
             for (const auto& [when, rows] : next->lists)
                 if (when >= from) lists_.emplace_back(when, &rows);
             from = next->last;
         }
+        for (const auto& [when, rows] : lists_)
+            for (const auto& row : *rows)
+                if (row.started > 0us) starts_[row.server].insert(row.started);
     }
 
     void gather_forwarders() {
@@ -369,10 +368,10 @@
     };
     // Cold servers are slow by nature.
     bool is_cold(const std::string& server, Micros now) const {
-        for (const auto& [when, rows] : lists_)
-            for (const auto& row : *rows)
-                if (row.server == server && row.started > 0us && row.started <= now && now < row.started + config_.told.cold_time + 2s) return true;
-        return false;
+        const auto starts = starts_.find(server);
+        return starts != starts_.end() && std::any_of(starts->second.begin(), starts->second.end(), [&](Micros started) {
+                   return started <= now && now < started + config_.told.cold_time + 2s;
+               });
     }
 
     void follow_streams() {
@@ -540,6 +539,7 @@
     std::map<std::string, ServerSight> servers_;
     std::map<std::string, std::pair<int, double>> forwarders_;  // zone, rate
     std::vector<std::pair<Micros, const std::vector<ListedRow>*>> lists_;
+    std::map<std::string, std::set<Micros>> starts_;  // by the chosen lists
     std::map<std::string, std::vector<const Sums*>> by_server_;
     std::map<std::string, std::vector<const StreamChange*>> streams_;
     std::vector<day::TimedMove> moves_;
--- a/src/replay/play.cpp
+++ b/src/replay/play.cpp
@@ -103,6 +103,7 @@
         if (options.before) options.before(world);
     };
     out.run = day::run_day(playable.script, how);
+    out.script = std::move(playable.script);
     out.trail = trail->steps();
     out.seconds = series->seconds(out.to);
     return out;
--- a/src/replay/play.h
+++ b/src/replay/play.h
@@ -74,6 +74,7 @@
     std::vector<standin::Observer*> watchers;
 };
 struct Played {
+    day::DayScript script;  // as played
     day::DayRun run;
     std::vector<Trail::Step> trail;
     std::vector<Series::Second> seconds;
--- a/src/replay/recorded_day.cpp
+++ b/src/replay/recorded_day.cpp
@@ -59,16 +59,13 @@
         : day_(day), script_(script), figures_(script, 0us, script.length, {}) {}
 
     void take(const pb::Block& block) {
-        names_ = &block.names();
+        block_ = &block;
         last_id_ = 0;
-        Micros told(block.first_us());
-        for (const auto& record : block.records()) {
-            told += Micros(record.after_us());
-            const Micros at = steady(told);
+        record::each_record(block, [this](Micros told, const pb::Record& record) {
             ++day_.kinds[kind_of(record)];
             ++day_.records;
-            take(at, record);
-        }
+            take(steady(told), record);
+        });
     }
     void close() {
         figures_.close();
@@ -88,9 +85,7 @@
         last_told_ = told;
         return told + moved_by_;
     }
-    std::string name(std::uint32_t number) const {
-        return number == 0 || number > static_cast<std::uint32_t>(names_->size()) ? std::string{} : names_->Get(static_cast<int>(number) - 1);
-    }
+    std::string name(std::uint32_t number) const { return record::name_in(*block_, number); }
     void take(Micros at, const pb::Record& record) {
         if (record.has_move()) return move(at, record.move());
         if (record.has_came()) return came(at, record.came());
@@ -179,7 +174,7 @@
     RecordedDay& day_;
     const day::DayScript& script_;
     day::Figures figures_;
-    const google::protobuf::RepeatedPtrField<std::string>* names_ = nullptr;
+    const pb::Block* block_ = nullptr;
     std::int64_t last_id_ = 0;
     Micros last_told_ = Micros::min(), moved_by_{};
     std::map<std::uint64_t, Open> open_;
--- a/src/replay/recorder.cpp
+++ b/src/replay/recorder.cpp
@@ -3,6 +3,7 @@
 #include <ctime>
 #include <filesystem>
 #include <iomanip>
+#include <optional>
 #include <sstream>
 
 #include "governor/service.h"
@@ -255,6 +256,24 @@
     }
 }
 
+// ---- a whole day
+
+day::DayRun record_day(const day::DayScript& script, day::DayOptions options, const std::string& path, record::WriterOptions how,
+                       record::WriterFigures& figures) {
+    std::optional<record::Writer> writer;
+    std::optional<Recorder> recorder;
+    options.prepare = [&](base::Micros begin) {
+        writer.emplace(record::file_sink(path), header_of(script, begin), how);
+        recorder.emplace(*writer);
+        return std::vector<standin::Observer*>{&*recorder};
+    };
+    options.before = [&](day::World& world) { recorder->follow(world); };
+    auto out = day::run_day(script, options);
+    writer->finish();
+    figures = writer->figures();
+    return out;
+}
+
 // ---- each governor for itself
 
 namespace {
--- a/src/replay/recorder.h
+++ b/src/replay/recorder.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include "day/runner.h"
 #include "day/script.h"
 #include "day/world.h"
 #include "governor/watcher.h"
@@ -62,6 +63,11 @@
     std::map<std::pair<std::uint64_t, std::string>, OpenTry> tries_;
 };
 
+// Plays the script and records it at this path; what the options watch already is watched still. `figures` is what the
+// writer came to. Throws record::CannotWrite where the file can't be made.
+day::DayRun record_day(const day::DayScript& script, day::DayOptions options, const std::string& path, record::WriterOptions how,
+                       record::WriterFigures& figures);
+
 // Records each life of each governor of a day in a file of its own, GOVERNOR-N.rec, as the governors themselves would.
 class GovernorFiles final : public governor::Watcher {
 public:
--- a/src/replay/trial.cpp
+++ b/src/replay/trial.cpp
@@ -197,24 +197,29 @@
     }
     if (out.name.empty()) out.name = "as recorded";
     // The settings as a whole, before the run.
-    if (mistakes.empty()) make_playable(day, out, mistakes);
+    if (mistakes.empty()) make_script(day, out, mistakes);
     return out;
 }
 
-Playable make_playable(const RecordedDay& day, const Trial& trial, std::vector<Mistake>& mistakes) {
-    Playable out;
-    out.script = day::parse_script(day.header.made_by(), day.script, trial.settings, mistakes);
+day::DayScript make_script(const RecordedDay& day, const Trial& trial, std::vector<Mistake>& mistakes) {
+    auto out = day::parse_script(day.header.made_by(), day.script, trial.settings, mistakes);
     if (!mistakes.empty()) return out;
-    out.script.name = day.header.made_by();
-    out.script.seed = day.header.seed(), out.script.length = day.length;
-    out.script.startup = trial.startup.value_or(out.script.startup);
-    out.script.workers += trial.more_workers;
-    out.script.rate *= trial.traffic;
-    out.world = day.world;
-    const auto& columns = out.script.governor.told.load_columns;
+    out.name = day.header.made_by();
+    out.seed = day.header.seed(), out.length = day.length;
+    out.startup = trial.startup.value_or(out.startup);
+    out.workers += trial.more_workers;
+    out.rate *= trial.traffic;
+    const auto& columns = out.governor.told.load_columns;
     const bool told = std::any_of(day.world.moves.begin(), day.world.moves.end(), [](const auto& m) { return m.what.worker.reports_load; });
     if (!columns.empty() && !told)
         mistakes.push_back({trial.name, 0, "[reports] load_columns", "asks for what no worker of the recorded day reported"});
+    return out;
+}
+
+Playable make_playable(const RecordedDay& day, const Trial& trial, std::vector<Mistake>& mistakes) {
+    Playable out{make_script(day, trial, mistakes), {}};
+    if (!mistakes.empty()) return out;
+    out.world = day.world;
     if (trial.more_workers != 0) change_workers(out.world, trial.more_workers, out.script.seed);
     if (trial.traffic != 1) change_traffic(out.world, trial.traffic, out.script.seed, day.length);
     return out;
--- a/src/replay/trial.h
+++ b/src/replay/trial.h
@@ -34,11 +34,14 @@
 // "section.key=value"; nothing where it is not of that form.
 std::optional<std::pair<std::string, std::string>> read_set(const std::string& text);
 
+// The day's script under the trial's settings, checked against the day once more.
+day::DayScript make_script(const RecordedDay& day, const Trial& trial, std::vector<config::Mistake>& mistakes);
+
 struct Playable {
     day::DayScript script;
     day::GivenWorld world;
 };
-// The day as it is to be played: checks the settings against it once more.
+// That script, and the recorded world with the ready-made changes.
 Playable make_playable(const RecordedDay& day, const Trial& trial, std::vector<config::Mistake>& mistakes);
 
 }  // namespace badgergrade::replay
--- a/tests/program/replay_test.cpp
+++ b/tests/program/replay_test.cpp
@@ -50,18 +50,10 @@
 }
 
 day::DayRun record(const day::DayScript& script, const std::string& path, record::WriterOptions how = {}) {
-    std::unique_ptr<record::Writer> writer;
-    std::unique_ptr<Recorder> recorder;
     how.when_full = record::WhenFull::Wait;
-    day::DayOptions options;
-    options.prepare = [&](base::Micros begin) {
-        writer = std::make_unique<record::Writer>(record::file_sink(path), header_of(script, begin), how);
-        recorder = std::make_unique<Recorder>(*writer);
-        return std::vector<standin::Observer*>{recorder.get()};
-    };
-    options.before = [&](day::World& world) { recorder->follow(world); };
-    auto out = day::run_day(script, options);
-    writer->finish();
+    record::WriterFigures figures;
+    auto out = record_day(script, {}, path, how, figures);
+    EXPECT_EQ(figures.failed, "");
     return out;
 }
 
