--- a/src/base/real_clock.cpp
+++ b/src/base/real_clock.cpp
@@ -56,6 +56,10 @@
     return statm >> size >> resident ? resident * sysconf(_SC_PAGESIZE) : 0;
 }
 
+Micros wall_now() {
+    return std::chrono::duration_cast<Micros>(std::chrono::system_clock::now().time_since_epoch());
+}
+
 std::string wall_time_text() {
     timespec now{};
     clock_gettime(CLOCK_REALTIME, &now);
--- a/src/base/real_clock.h
+++ b/src/base/real_clock.h
@@ -26,6 +26,9 @@
     std::optional<Micros> armed_;
 };
 
+// Unix time in whole microseconds: to set a clock's beginning beside it once, never to measure with.
+Micros wall_now();
+
 // Microseconds of CPU that this process has used, user and system: a measurement, never a decision.
 std::int64_t process_cpu_us();
 // Resident memory in bytes, and open descriptors, as the kernel tells; 0 where it does not.
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -39,6 +39,7 @@
 void add_check_config(CLI::App& app, Command& chosen);
 void add_standin(CLI::App& app, Command& chosen);
 void add_day(CLI::App& app, Command& chosen);
+void add_node(CLI::App& app, Command& chosen);
 void add_replay(CLI::App& app, Command& chosen);
 
 }  // namespace badgergrade::cli
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -24,6 +24,7 @@
     add_check_config(app, chosen);
     add_standin(app, chosen);
     add_day(app, chosen);
+    add_node(app, chosen);
     add_replay(app, chosen);
     try {
         app.parse(argc, argv);
--- /dev/null
+++ b/src/drive/driver.cpp
@@ -0,0 +1,38 @@
+#include "drive/driver.h"
+
+#include <utility>
+
+namespace badgergrade::drive {
+
+Driver::Driver(base::Clock& clock, base::ActorId actor, const Settings& told, std::uint64_t seed, Micros batch)
+    : clock_(clock), actor_(actor), batch_(batch), module_(told, seed, clock.now()), decide_(clock, actor) {}
+
+void Driver::tell(const Event& event) {
+    module_.take(clock_.now(), event);
+    if (!decide_.set()) decide_.after(batch_, [this] { decide(); });
+}
+
+void Driver::stop() {
+    decide_.stop();
+    timers_.clear();
+}
+
+void Driver::set_timer(const act::Timer& timer) {
+    const auto it = timers_.emplace(timers_.end(), clock_, actor_);
+    it->after(timer.delay, [this, it, token = timer.token] {
+        const ev::Timer due{token};
+        timers_.erase(it);
+        tell(due);
+    });
+}
+
+void Driver::decide() {
+    std::vector<Action> orders;
+    for (Action& action : module_.decide(clock_.now())) {
+        if (const auto* timer = std::get_if<act::Timer>(&action)) set_timer(*timer);
+        else orders.push_back(std::move(action));
+    }
+    if (!orders.empty()) on_actions(std::move(orders));
+}
+
+}  // namespace badgergrade::drive
--- /dev/null
+++ b/src/node/service.cpp
@@ -0,0 +1,319 @@
+#include "node/service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/real_clock.h"
+#include "platform/orders_text.h"
+
+namespace badgergrade::node {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+// Descriptors that are no connection of a peer: standard streams, the poll, its wake-ups, the listener, signals, two
+// for discovery (an old call and a new one), some for files read on reload.
+constexpr int kOwnDescriptors = 20;
+// Whoever has not joined by then is closed; what it may send until then is small.
+constexpr Micros kJoinWithin = 1200ms, kStrangersLook = 100ms;
+constexpr std::size_t kStrangerBytes = 16 * 1024;
+// Unfinished messages of all connections together, and what a peer may leave unread.
+constexpr std::size_t kHeldMost = 4 * 1024 * 1024, kUnsentMost = 512 * 1024;
+constexpr Micros kLook = 5s;
+
+}  // namespace
+
+Service::Service(net::Loop& loop, base::ActorId actor, const platform::NodeConfig& config, log::Log& log, Micros wall_ahead)
+    : loop_(loop), clock_(loop.clock()), log_(log, config.name), config_(config), servers_(config_.names, wall_ahead),
+      orders_(config.settings), driver_(clock_, actor, config.settings, config.seed, config.batch),
+      connections_most_(static_cast<std::size_t>(std::max(8, config.sockets - kOwnDescriptors))), strangers_timer_(clock_, actor),
+      look_(clock_, actor), discovery_(loop, actor, config.name, config.discovery, config.known.generation, config.seed) {
+    driver_.on_actions = [this](std::vector<Action> actions) { carry_out(actions); };
+    discovery_.on_list = [this](const platform::InstanceList& list) { on_list(list, list.whole ? ListForm::Full : ListForm::Delta); };
+    discovery_.on_trouble = [this](const std::string& why) { warn("discovery.trouble", {{"at", net::to_text(discovery_.at())}, {"why", why}}); };
+    // The list as it was last held comes before anything else.
+    on_list(config_.known, ListForm::Cached);
+    config_.known = {};
+    listener_ = std::make_unique<net::Listener>(loop, actor, config.name, config.listen, [this](net::StreamPtr stream) { accept(std::move(stream)); });
+    listener_->on_trouble([this](std::string why) { warn("accept.failed", {{"why", why}, {"connections", connections_.size()}}); });
+    discovery_.start();
+    end_strangers();
+    look();
+    log_.info("node.started", {{"listen", net::to_text(address())},
+                               {"discovery", net::to_text(config.discovery)},
+                               {"connections_most", connections_most_},
+                               {"zones", config.names.zones.size()},
+                               {"proxies", config.names.proxies},
+                               {"servers", servers_.size()}});
+}
+
+Service::~Service() { stop(); }
+
+void Service::stop() {
+    if (std::exchange(stopping_, true)) return;
+    log_.info("node.stopping", {{"proxies", streams_.size()}, {"connections", connections_.size()}});
+    listener_->close();
+    discovery_.stop();
+    driver_.stop();
+    strangers_timer_.stop(), look_.stop();
+    for (auto& [id, connection] : connections_) connection.stream->close(true);
+    connections_.clear(), strangers_.clear(), streams_.clear();
+}
+
+void Service::reload(const platform::NodeConfig& config) {
+    const bool moved = config.discovery != discovery_.at();
+    log_.info("config.reloaded", {{"discovery", net::to_text(config.discovery)}, {"moved", moved}, {"generation", discovery_.generation()}});
+    if (config.listen != config_.listen || config.name != config_.name || config.sockets != config_.sockets)
+        log_.warn("config.needs_restart", {{"why", "name, listen and limits are read at the start alone"}});
+    if (moved) discovery_.move(config.discovery);
+}
+
+Figures Service::figures() const {
+    Figures out = figures_;
+    out.connections = connections_.size(), out.strangers = strangers_.size(), out.proxies = streams_.size();
+    out.servers = servers_.size(), out.held_bytes = held_bytes_, out.timers = driver_.timers();
+    return out;
+}
+
+void Service::warn(std::string_view event, std::initializer_list<log::Field> fields) {
+    std::int64_t unsaid = 0;
+    if (!limit_.allows(event, clock_.now(), unsaid)) return;
+    log_.warn(event, fields);
+    if (unsaid > 0) log_.warn("lines.left_out", {{"event", event}, {"lines", unsaid}});
+}
+
+// ---- connections
+
+void Service::accept(net::StreamPtr stream) {
+    make_room();
+    if (connections_.size() >= connections_most_) {
+        warn("connection.no_room", {{"peer", stream->peer()}, {"connections", connections_.size()}});
+        return stream->close(true);
+    }
+    const ConnectionId id = ++ids_;
+    stream->on_data = [this, id](std::string_view bytes) { came(id, bytes); };
+    stream->on_end = [this, id](std::string why) { end(id, why); };
+    Connection& connection = connections_[id];
+    connection.stream = std::move(stream);
+    connection.reader.set_limits({kStrangerBytes, 64});
+    connection.since = clock_.now();
+    strangers_.insert(id);
+}
+
+// Whoever only holds a place loses it to a newcomer, the oldest first: a proxy that wants to join always finds one.
+void Service::make_room() {
+    while (connections_.size() >= connections_most_ && !strangers_.empty()) refuse(*strangers_.begin(), "its place is wanted");
+}
+
+void Service::end_strangers() {
+    strangers_timer_.after(kStrangersLook, [this] { end_strangers(); });
+    const Micros now = clock_.now();
+    while (!strangers_.empty()) {
+        const ConnectionId oldest = *strangers_.begin();
+        if (now - connections_.at(oldest).since < kJoinWithin) return;
+        refuse(oldest, "did not join in time");
+    }
+}
+
+void Service::refuse(ConnectionId id, const std::string& why) {
+    ++figures_.refused;
+    end(id, why, true);
+}
+
+void Service::end(ConnectionId id, const std::string& why, bool nack) {
+    const auto it = connections_.find(id);
+    if (it == connections_.end()) return;
+    Connection connection = std::move(it->second);
+    connections_.erase(it);
+    strangers_.erase(id);
+    held_bytes_ -= std::min(held_bytes_, connection.reader.held());
+    if (nack) {
+        warn("connection.refused", {{"peer", connection.stream->peer()}, {"why", why}});
+        std::string bytes;
+        resp::write(bytes, {"NACK", "why", why.substr(0, 200)});
+        connection.stream->write(bytes);
+    }
+    connection.stream->close(connection.stream->unsent() > 0);
+    if (connection.role == Role::Proxy) {
+        log_.info("proxy.left", {{"proxy", connection.proxy.v}, {"why", why}, {"unanswered", connection.marks.size()}});
+        forget_proxy(id, connection);
+    } else if (connection.role == Role::Collector) {
+        log_.info("collector.left", {{"zone", config_.names.zones[static_cast<std::size_t>(connection.zone.v)]}, {"why", why}});
+    }
+}
+
+// The newest stream of a proxy stands: the end of an older one, seen late, does not unjoin it.
+void Service::forget_proxy(ConnectionId id, const Connection& connection) {
+    const auto stands = streams_.find(connection.proxy);
+    if (stands == streams_.end() || stands->second != id) return;
+    streams_.erase(stands);
+    orders_.left(connection.proxy);
+    ++figures_.leaves;
+    if (!stopping_) driver_.tell(ev::Left{connection.proxy});
+}
+
+// ---- messages
+
+void Service::came(ConnectionId id, std::string_view bytes) {
+    for (;;) {
+        const auto it = connections_.find(id);
+        if (it == connections_.end()) return;
+        Connection& connection = it->second;
+        const std::size_t held_before = connection.reader.held();
+        const auto message = connection.reader.next(bytes);
+        if (!message) return check_held(id, connection, held_before);
+        held_bytes_ -= std::min(held_bytes_, held_before);
+        handle(id, connection, *message);
+    }
+}
+
+void Service::check_held(ConnectionId id, const Connection& connection, std::size_t held_before) {
+    held_bytes_ += connection.reader.held();
+    held_bytes_ -= std::min(held_bytes_, held_before);
+    if (!connection.reader.error().empty()) return refuse(id, "can't be read: " + connection.reader.error());
+    if (held_bytes_ > kHeldMost && connection.reader.held() > kStrangerBytes) refuse(id, "too many unfinished messages");
+}
+
+void Service::handle(ConnectionId id, Connection& connection, const resp::Message& raw) {
+    platform::Message message;
+    try {
+        message = platform::read_message(raw, config_.names, servers_);
+    } catch (const platform::Spoilt& wrong) {
+        ++figures_.spoilt;
+        const std::string kind = raw.words.empty() ? "" : raw.words.front().substr(0, 20);
+        if (connection.role == Role::Stranger) return refuse(id, kind + ": " + wrong.what());
+        return warn("message.spoilt", {{"peer", connection.stream->peer()}, {"kind", kind}, {"why", wrong.what()}});
+    }
+    if (std::holds_alternative<platform::Ping>(message)) {
+        std::string pong;
+        resp::write(pong, {"PONG"});
+        connection.stream->write(pong);
+        if (connection.stream->unsent() > kUnsentMost) end(id, "leaves its answers unread");
+        return;
+    }
+    switch (connection.role) {
+        case Role::Stranger: return handle_stranger(id, connection, message);
+        case Role::Collector: return handle_collector(connection, message);
+        case Role::Proxy: return handle_proxy(connection, message);
+    }
+}
+
+void Service::handle_stranger(ConnectionId id, Connection& connection, const platform::Message& message) {
+    if (const auto* joined = std::get_if<ev::Joined>(&message)) return join(id, connection, *joined);
+    const auto* source = std::get_if<platform::Source>(&message);
+    if (!source) return refuse(id, "a report or an answer before joining");
+    connection.role = Role::Collector, connection.zone = source->zone;
+    connection.reader.set_limits({});
+    strangers_.erase(id);
+    log_.info("collector.joined", {{"zone", config_.names.zones[static_cast<std::size_t>(source->zone.v)]}, {"peer", connection.stream->peer()}});
+}
+
+void Service::join(ConnectionId id, Connection& connection, const ev::Joined& joined) {
+    strangers_.erase(id);
+    connection.role = Role::Proxy, connection.proxy = joined.proxy;
+    connection.reader.set_limits({});
+    if (const auto stands = streams_.find(joined.proxy); stands != streams_.end()) end(stands->second, "a newer stream of this proxy");
+    streams_[joined.proxy] = id;
+    orders_.joined(joined.proxy);
+    ++figures_.joins;
+    log_.info("proxy.joined", {{"proxy", joined.proxy.v}, {"zone", joined.zone.v}, {"fresh", joined.fresh}, {"peer", connection.stream->peer()}});
+    driver_.tell(joined);
+}
+
+void Service::handle_proxy(Connection& connection, const platform::Message& message) {
+    const auto spoilt = [&](const char* why) {
+        ++figures_.spoilt;
+        warn("message.spoilt", {{"peer", connection.stream->peer()}, {"proxy", connection.proxy.v}, {"why", why}});
+    };
+    if (const auto* applied = std::get_if<ev::Applied>(&message)) {
+        if (applied->proxy != connection.proxy) return spoilt("an ACK in another proxy's name");
+        if (connection.marks.erase(applied->mark) == 0) return spoilt("an ACK of a mark that was not written on this stream");
+        ++figures_.applied;
+        driver_.tell(*applied);
+    } else if (const auto* demand = std::get_if<ev::Demand>(&message)) {
+        if (demand->proxy != connection.proxy) return spoilt("a RATE in another proxy's name");
+        driver_.tell(*demand);
+    } else {
+        spoilt("a message that is not a proxy's");
+    }
+}
+
+void Service::handle_collector(Connection& connection, const platform::Message& message) {
+    const auto spoilt = [&](const char* why) {
+        ++figures_.spoilt;
+        warn("message.spoilt", {{"peer", connection.stream->peer()}, {"collector", connection.zone.v}, {"why", why}});
+    };
+    if (const auto* heard = std::get_if<ev::Heard>(&message)) {
+        if (heard->zone != connection.zone) return spoilt("a LOAD of another zone");
+        driver_.tell(*heard);
+    } else if (const auto* demand = std::get_if<ev::Demand>(&message)) {
+        driver_.tell(*demand);
+    } else {
+        spoilt("a message that is not a collector's");
+    }
+}
+
+// ---- the list
+
+void Service::on_list(const platform::InstanceList& list, ListForm form) {
+    const ev::List event = servers_.take(list, form, clock_.now());
+    std::size_t ready = 0;
+    for (const ServerRow& row : event.rows) ready += row.state == ServerState::Ready;
+    log_.info("list.taken", {{"generation", list.generation}, {"whole", form != ListForm::Delta}, {"rows", event.rows.size()}, {"ready", ready}});
+    driver_.tell(event);
+}
+
+// ---- orders
+
+void Service::carry_out(const std::vector<Action>& actions) {
+    for (const Action& action : actions)
+        if (const auto* line = std::get_if<act::Log>(&action)) log_.info("module.says", {{"text", line->text}});
+    std::vector<std::string> refused;
+    const std::vector<drive::Order> orders = orders_.take(actions, refused);
+    for (const std::string& why : refused) warn("order.refused", {{"why", why}});
+    // Proxies with the same parts get the same bytes.
+    std::map<std::vector<const drive::TablePart*>, std::string> written;
+    for (const drive::Order& order : orders) {
+        std::vector<const drive::TablePart*> same;
+        for (const auto& part : order.parts) same.push_back(part.get());
+        const bool own = !order.out.empty() || !order.back.empty();
+        std::string& bytes = written[same];
+        std::string alone;
+        if (own || bytes.empty()) {
+            const auto made = platform::to_config(order, config_.names, servers_);
+            if (!made) {
+                warn("order.refused", {{"why", "takes more parts than a message may have"}, {"proxy", order.proxy.v}});
+                continue;
+            }
+            (own ? alone : bytes) = *made;
+        }
+        send(order, own ? alone : bytes);
+    }
+}
+
+void Service::send(const drive::Order& order, const std::string& bytes) {
+    const auto stands = streams_.find(order.proxy);
+    if (stands == streams_.end()) return;
+    const ConnectionId id = stands->second;
+    Connection& connection = connections_.at(id);
+    if (order.mark) connection.marks.insert(*order.mark);
+    // A proxy that answers none of them is owed no memory of all.
+    if (connection.marks.size() > 256) connection.marks.erase(connection.marks.begin());
+    ++figures_.orders;
+    connection.stream->write(bytes);
+    if (connection.stream->unsent() > kUnsentMost) end(id, "leaves its orders unread");
+}
+
+void Service::look() {
+    look_.after(kLook, [this] { look(); });
+    servers_.forget(clock_.now(), [this](ServerId server) { return orders_.names(server); });
+    const Figures now = figures();
+    log_.info("node.state", {{"proxies", now.proxies}, {"strangers", now.strangers}, {"connections", now.connections},
+                             {"servers", now.servers}, {"generation", discovery_.generation()}, {"orders", now.orders},
+                             {"applied", now.applied}, {"spoilt", now.spoilt}, {"refused", now.refused},
+                             {"held", now.held_bytes}, {"timers", now.timers}, {"cpu_us", base::process_cpu_us()},
+                             {"memory_kb", base::process_memory_bytes() / 1024}});
+}
+
+}  // namespace badgergrade::node
--- /dev/null
+++ b/src/node/service.h
@@ -0,0 +1,97 @@
+// The governor in service on the platform: proxies and collectors on one address, discovery's watch, the module between.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "drive/driver.h"
+#include "drive/orders.h"
+#include "log/log.h"
+#include "net/network.h"
+#include "node/discovery_watch.h"
+#include "node/line_limit.h"
+#include "platform/config.h"
+#include "platform/messages.h"
+#include "platform/servers.h"
+#include "resp/resp.h"
+
+namespace badgergrade::node {
+
+struct Figures {
+    std::int64_t joins = 0, leaves = 0, orders = 0, applied = 0, spoilt = 0, refused = 0;
+    std::size_t connections = 0, strangers = 0, proxies = 0, servers = 0, held_bytes = 0, timers = 0;
+};
+
+class Service {
+public:
+    // Listens at once; throws std::system_error where the address can't be had. `wall_ahead` is Unix time less the
+    // loop's clock.
+    Service(net::Loop& loop, base::ActorId actor, const platform::NodeConfig& config, log::Log& log, Micros wall_ahead);
+    ~Service();
+    Service(const Service&) = delete;
+
+    net::Address address() const { return listener_->address(); }
+    // A configuration that replaces the one before: discovery may have moved. What needs a new start is told in the log.
+    void reload(const platform::NodeConfig& config);
+    // Ends all connections; nothing is heard or ordered from then on.
+    void stop();
+    Figures figures() const;
+
+private:
+    enum class Role { Stranger, Collector, Proxy };
+    using ConnectionId = std::uint64_t;  // rises with each connection: the smallest is the oldest
+    struct Connection {
+        net::StreamPtr stream;
+        resp::Reader reader;
+        Role role = Role::Stranger;
+        Micros since{};
+        ProxyId proxy;
+        ZoneId zone;
+        std::set<MarkId> marks;  // written on this stream and not yet answered
+    };
+
+    void accept(net::StreamPtr stream);
+    void make_room();
+    void came(ConnectionId id, std::string_view bytes);
+    void handle(ConnectionId id, Connection& connection, const resp::Message& message);
+    void handle_stranger(ConnectionId id, Connection& connection, const platform::Message& message);
+    void handle_proxy(Connection& connection, const platform::Message& message);
+    void handle_collector(Connection& connection, const platform::Message& message);
+    void join(ConnectionId id, Connection& connection, const ev::Joined& joined);
+    void refuse(ConnectionId id, const std::string& why);
+    void end(ConnectionId id, const std::string& why, bool nack = false);
+    void forget_proxy(ConnectionId id, const Connection& connection);
+    void check_held(ConnectionId id, const Connection& connection, std::size_t held_before);
+    void end_strangers();
+    void look();
+
+    void on_list(const platform::InstanceList& list, ListForm form);
+    void carry_out(const std::vector<Action>& actions);
+    void send(const drive::Order& order, const std::string& bytes);
+    void warn(std::string_view event, std::initializer_list<log::Field> fields);
+
+    net::Loop& loop_;
+    base::Clock& clock_;
+    log::Voice log_;
+    LineLimit limit_;
+    platform::NodeConfig config_;
+    platform::Servers servers_;
+    drive::OrderBook orders_;
+    drive::Driver driver_;
+    std::size_t connections_most_;
+    std::map<ConnectionId, Connection> connections_;
+    std::set<ConnectionId> strangers_;
+    std::map<ProxyId, ConnectionId> streams_;
+    ConnectionId ids_ = 0;
+    std::size_t held_bytes_ = 0;
+    base::Timer strangers_timer_, look_;
+    DiscoveryWatch discovery_;
+    std::unique_ptr<net::Listener> listener_;
+    Figures figures_;
+    bool stopping_ = false;
+};
+
+}  // namespace badgergrade::node
--- /dev/null
+++ b/src/platform/servers.cpp
@@ -0,0 +1,75 @@
+#include "platform/servers.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace badgergrade::platform {
+
+namespace {
+// Longer than any report, verdict or message can still speak of a server that is gone.
+constexpr Micros kRemembered = std::chrono::seconds(120);
+}  // namespace
+
+// The module takes 0 for "long ago"; a start before this clock began is just as long ago, but stays a start, and the
+// same one whenever a list repeats it.
+Micros Servers::start_of(double started_ms) const {
+    if (!(started_ms > 0)) return Micros{0};
+    return std::max(Micros{1}, Micros(std::llround(started_ms * 1000)) - wall_ahead_);
+}
+
+ServerId Servers::new_number() {
+    if (free_.empty()) return {++last_};
+    const ServerId number = *free_.begin();
+    free_.erase(free_.begin());
+    return number;
+}
+
+ev::List Servers::take(const InstanceList& list, ListForm form, Micros now) {
+    ev::List out{form, {}};
+    if (form != ListForm::Delta)
+        for (auto& [id, known] : by_id_)
+            if (!std::exchange(known.gone, true)) known.gone_since = now;
+    for (const Instance& instance : list.instances) {
+        auto it = by_id_.find(instance.id);
+        if (it == by_id_.end()) {
+            // What was never there and is gone already needs no number.
+            if (instance.state == ServerState::Gone) continue;
+            it = by_id_.emplace(instance.id, Known{new_number()}).first;
+            ids_[it->second.server] = instance.id;
+        }
+        Known& known = it->second;
+        const bool gone = instance.state == ServerState::Gone;
+        if (gone && !known.gone) known.gone_since = now;
+        known.gone = gone;
+        const auto zone = std::find(names_.zones.begin(), names_.zones.end(), instance.zone);
+        out.rows.push_back({known.server, {zone == names_.zones.end() ? -1 : static_cast<int>(zone - names_.zones.begin())},
+                            instance.state, instance.weight, start_of(instance.started_ms)});
+    }
+    return out;
+}
+
+std::optional<ServerId> Servers::number(std::string_view id) const {
+    const auto it = by_id_.find(id);
+    return it == by_id_.end() ? std::nullopt : std::optional(it->second.server);
+}
+
+const std::string& Servers::id(ServerId server) const {
+    static const std::string none;
+    const auto it = ids_.find(server);
+    return it == ids_.end() ? none : it->second;
+}
+
+void Servers::forget(Micros now, const std::function<bool(ServerId)>& named) {
+    for (auto it = by_id_.begin(); it != by_id_.end();) {
+        const Known& known = it->second;
+        if (!known.gone || now - known.gone_since < kRemembered || named(known.server)) {
+            ++it;
+            continue;
+        }
+        free_.insert(known.server);
+        ids_.erase(known.server);
+        it = by_id_.erase(it);
+    }
+}
+
+}  // namespace badgergrade::platform
