--- a/src/cli/node.cpp
+++ b/src/cli/node.cpp
@@ -13,20 +13,22 @@
 namespace {
 
 // A configuration of this size names more servers than a list may.
-constexpr std::size_t kConfigMost = 32 * 1024 * 1024;
+constexpr std::size_t kConfigMost = 16 * 1024 * 1024;
 
 std::string variable(const char* name) {
     const char* value = std::getenv(name);
     return value ? value : "";
 }
 
+// In pieces: a buffer of the largest size, taken at once, was most of the memory that a small governor may have.
 std::string text_of(const std::string& path) {
     std::ifstream in(path, std::ios::binary);
     if (!in) throw platform::Unreadable("can't be opened");
-    std::string text(kConfigMost + 1, '\0');
-    in.read(text.data(), static_cast<std::streamsize>(text.size()));
-    text.resize(static_cast<std::size_t>(in.gcount()));
-    if (text.size() > kConfigMost) throw platform::Unreadable("is larger than 32 MiB");
+    std::string text, piece(64 * 1024, '\0');
+    while (in.read(piece.data(), static_cast<std::streamsize>(piece.size())), in.gcount() > 0) {
+        text.append(piece, 0, static_cast<std::size_t>(in.gcount()));
+        if (text.size() > kConfigMost) throw platform::Unreadable("is larger than 16 MiB");
+    }
     return text;
 }
 
