--- a/src/drive/driver.h
+++ b/src/drive/driver.h
@@ -16,12 +16,20 @@
     // What comes within `batch` is decided on together.
     Driver(base::Clock& clock, base::ActorId actor, const Settings& told, std::uint64_t seed, Micros batch);
 
+    // Each event before the module takes it, its own timers included. May be unset.
+    std::function<void(const Event&)> on_event;
+    // All that was decided, before it is carried out: for those who watch, and for tests. May be unset.
+    std::function<void(std::vector<Action>&)> on_decided;
     // All that was decided but the timers, which are kept here. Must be set before the first event.
     std::function<void(std::vector<Action>)> on_actions;
 
     void tell(const Event& event);
+    // Decides at the next turn, whether anything happened or not.
+    void decide_soon();
     void stop();
     std::size_t timers() const { return timers_.size(); }
+    // CPU that decisions took, with all that was done with them.
+    std::int64_t cpu_us() const { return cpu_us_; }
 
 private:
     void decide();
@@ -34,6 +42,7 @@
     base::Timer decide_;
     // Each setting is an event of its own, also of a token that is set already.
     std::list<base::Timer> timers_;
+    std::int64_t cpu_us_ = 0;
 };
 
 }  // namespace badgergrade::drive
--- a/src/drive/orders.cpp
+++ b/src/drive/orders.cpp
@@ -77,10 +77,12 @@
 }
 
 // Where a level is set for all and for the table the lower holds, and the table's own manner of trying again.
-LevelSet OrderBook::level(const Table& table, OpId op) const {
+LevelSet OrderBook::level(TableId id, OpId op) const {
     LevelSet out{all_let_in_, usual_again_};
     if (const auto it = every_table_.find(op); it != every_table_.end()) out = it->second;
-    if (const auto own = table.levels.find(op); own != table.levels.end())
+    const auto table = tables_.find(id);
+    if (table == tables_.end()) return out;
+    if (const auto own = table->second.levels.find(op); own != table->second.levels.end())
         out = {std::min(out.let_in, own->second.let_in), own->second.again};
     return out;
 }
@@ -94,6 +96,7 @@
     if (made) return made;
     auto part = std::make_shared<TablePart>();
     const Table& stands = tables_[table];
+    part->table = table;
     part->ops = ops == all_ops_ ? 0 : ops;
     part->whole = whole;
     if (whole) part->lines = stands.lines;
@@ -102,7 +105,7 @@
         if (!names_op(ops, op)) continue;
         const bool set = stands.levels.contains(op) || every_table_.contains(op);
         const bool fresh = whole || turn.levels_for_all || (changed != turn.changed.end() && changed->second.levels.contains(op));
-        if (set && fresh) part->levels[op] = level(stands, op);
+        if (set && fresh) part->levels[op] = level(table, op);
     }
     return made = std::move(part);
 }
@@ -159,6 +162,18 @@
     return out;
 }
 
+const std::map<OpMask, TableId>& OrderBook::held_by(ProxyId proxy) const {
+    static const std::map<OpMask, TableId> none;
+    const auto it = proxies_.find(proxy);
+    return it == proxies_.end() ? none : it->second.bound;
+}
+
+const Lines& OrderBook::lines(TableId table) const {
+    static const Lines none;
+    const auto it = tables_.find(table);
+    return it == tables_.end() ? none : it->second.lines;
+}
+
 bool OrderBook::names(ServerId server) const {
     if (withdrawn_.contains(server)) return true;
     for (const auto& [id, table] : tables_)
--- a/src/drive/orders.h
+++ b/src/drive/orders.h
@@ -25,6 +25,7 @@
 
 // One table for some of a proxy's operations; shared by all proxies that get the same.
 struct TablePart {
+    TableId table;
     OpMask ops = 0;      // 0: all
     bool whole = false;  // the lines are the whole table, and levels ordered before are forgotten
     Lines lines;
@@ -43,6 +44,11 @@
 
 class OrderBook {
 public:
+    struct Table {
+        Lines lines;
+        Levels levels;
+    };
+
     explicit OrderBook(const Settings& told);
 
     // A proxy's stream stands, and it is bound to nothing of ours; or its stream is over. What it was told to shut out
@@ -54,14 +60,16 @@
     // a proxy that is not joined is left out and told in `refused`.
     std::vector<Order> take(const std::vector<Action>& actions, std::vector<std::string>& refused);
 
+    // How things stand: for those who say them as whole resources. `held_by` gives the tables by operations.
+    const std::map<OpMask, TableId>& held_by(ProxyId proxy) const;
+    const Lines& lines(TableId table) const;
+    LevelSet level(TableId table, OpId op) const;
+    const std::set<ServerId>& withdrawn() const { return withdrawn_; }
+
     // Whether a table, a withdrawal or a proxy still names this server.
     bool names(ServerId server) const;
 
 private:
-    struct Table {
-        Lines lines;
-        Levels levels;
-    };
     struct Held {
         bool joined = false;
         std::map<OpMask, TableId> bound;
@@ -87,7 +95,6 @@
     void carry_out(const act::Level& a, Turn& turn);
     TablePartPtr part_for(ProxyId proxy, TableId table, OpMask ops, Turn& turn);
     void add_withdrawals(Held& held, Order& order);
-    LevelSet level(const Table& table, OpId op) const;
 
     std::vector<OpId> operations_;
     double head_lines_, all_let_in_;
--- a/src/governor/service.cpp
+++ b/src/governor/service.cpp
@@ -49,12 +49,21 @@
 
 Service::Service(net::Loop& loop, base::ActorId actor, const config::GovernorConfig& config, log::Log& log, std::string life)
     : loop_(loop), clock_(loop.clock()), actor_(actor), config_(config), log_(log, config.id), life_(std::move(life)),
-      module_(config.told, config.seed, clock_.now()), board_(config.told, config.zones, config.eject_time),
+      driver_(clock_, actor, config.told, config.seed, config.batch), board_(config.told, config.zones, config.eject_time),
       channel_(config.told.channel_rate), reports_(config.told),
       server_(loop, actor, config.id, net::parse_address(config.xds_address), grpc_limits(config),
               static_cast<std::size_t>(config.connections_most)),
-      registry_(loop, actor, config.id, config), decide_(clock_, actor), channel_timer_(clock_, actor),
+      registry_(loop, actor, config.id, config), channel_timer_(clock_, actor),
       tick_(clock_, actor), period_(clock_, actor) {
+    driver_.on_event = [this](const Event& event) {
+        if (watcher_) watcher_->told(clock_.now(), *this, event);
+    };
+    driver_.on_decided = [this](std::vector<Action>& actions) {
+        ++figures_.decisions;
+        if (tamper) tamper(clock_.now(), actions);
+        if (watcher_ && !actions.empty()) watcher_->decided(clock_.now(), *this, actions);
+    };
+    driver_.on_actions = [this](std::vector<Action> actions) { carry_out(std::move(actions)); };
     server_.on_call = [this](net::GrpcCallPtr call) { on_call(call); };
     server_.on_trouble = [this](const std::string& peer, const std::string& why) {
         log_.warn("connection.ended", {{"peer", peer}, {"why", why}});
@@ -78,7 +87,7 @@
     if (!config.told.ask_for_list) registry_.start();
     tick();
     period_.after(config.told.report_period, [this] { end_period(); });
-    decide_.after(Micros{0}, [this] { decide(); });
+    driver_.decide_soon();
 }
 
 Service::~Service() {
@@ -113,12 +122,13 @@
         }
     registry_.stop();
     server_.close(true);
-    for (base::Timer* timer : {&decide_, &channel_timer_, &tick_, &period_}) timer->stop();
-    timers_.clear();
+    for (base::Timer* timer : {&channel_timer_, &tick_, &period_}) timer->stop();
+    driver_.stop();
 }
 
 Figures Service::figures() const {
     Figures out = figures_;
+    out.handler_cpu_us += driver_.cpu_us();
     out.channel = channel_.figures();
     return out;
 }
@@ -356,9 +366,7 @@
 // ---- the module
 
 void Service::tell(const Event& event) {
-    if (watcher_) watcher_->told(clock_.now(), *this, event);
-    module_.take(clock_.now(), event);
-    if (!decide_.set()) decide_.after(config_.batch, [this] { decide(); });
+    driver_.tell(event);
 }
 
 void Service::tick() {
@@ -372,22 +380,10 @@
     reports_.close_period(clock_.now());
 }
 
-void Service::decide() {
-    const base::CpuMeter meter(figures_.handler_cpu_us);
-    ++figures_.decisions;
-    auto actions = module_.decide(clock_.now());
-    if (tamper) tamper(clock_.now(), actions);
-    if (watcher_ && !actions.empty()) watcher_->decided(clock_.now(), *this, actions);
-    carry_out(std::move(actions));
-}
-
 void Service::carry_out(std::vector<Action> actions) {
     bool tables = false;
     for (const Action& action : actions) {
-        if (const auto* timer = std::get_if<act::Timer>(&action)) {
-            auto& own = timers_.try_emplace(timer->token, clock_, actor_).first->second;
-            own.after(timer->delay, [this, token = timer->token] { tell(ev::Timer{token}); });
-        } else if (const auto* line = std::get_if<act::Log>(&action)) {
+        if (const auto* line = std::get_if<act::Log>(&action)) {
             log_.info("module.says", {{"text", line->text}});
         } else if (const auto* watch = std::get_if<act::Watch>(&action)) {
             if (watch->on) registry_.start();
--- a/src/governor/service.h
+++ b/src/governor/service.h
@@ -11,11 +11,11 @@
 
 #include "channel/channel.h"
 #include "config/governor_config.h"
+#include "drive/driver.h"
 #include "governor/registry_watch.h"
 #include "governor/reports.h"
 #include "governor/watcher.h"
 #include "log/log.h"
-#include "logic.h"
 #include "net/grpc.h"
 #include "net/http_server.h"
 #include "xds/ads_server.h"
@@ -95,7 +95,6 @@
     ZoneId zone_of(const std::string& name) const;
 
     void tell(const Event& event);
-    void decide();
     void carry_out(std::vector<Action> actions);
     void probe(ServerId server);
     void arm_channel();
@@ -110,7 +109,7 @@
     config::GovernorConfig config_;
     log::Voice log_;
     std::string life_;
-    badgergrade::Governor module_;
+    drive::Driver driver_;
     xds::Board board_;
     channel::Channel channel_;
     Reports reports_;
@@ -124,9 +123,8 @@
     std::map<net::Address, ServerId> by_address_;
     std::map<ServerId, std::string> server_names_;
     std::map<ServerId, std::unique_ptr<net::HttpPool>> probes_;
-    std::map<std::string, base::Timer> timers_;
     std::set<std::string> told_unknown_;
-    base::Timer decide_, channel_timer_, tick_, period_;
+    base::Timer channel_timer_, tick_, period_;
     Figures figures_;
     Watcher* watcher_ = nullptr;
     Micros exhausted_told_{};
--- a/src/xds/board.cpp
+++ b/src/xds/board.cpp
@@ -51,9 +51,8 @@
 }  // namespace
 
 Board::Board(const Settings& told, const std::vector<std::string>& zones, Micros eject_time)
-    : operations_(told.operations), zones_(zones), pick_(told.pick), admit_(told.admit),
-      usual_again_(told.default_again), try_factor_(told.try_factor), head_lines_(told.head_lines),
-      ejects_after_(told.ejects_after), eject_time_(eject_time) {}
+    : operations_(told.operations), zones_(zones), pick_(told.pick), admit_(told.admit), try_factor_(told.try_factor),
+      ejects_after_(told.ejects_after), eject_time_(eject_time), book_(told) {}
 
 void Board::place(ServerId server, ServerPlace place) { places_[server] = std::move(place); }
 
@@ -62,151 +61,70 @@
     return it == places_.end() ? nullptr : &it->second;
 }
 
-void Board::joined(ProxyId proxy) { proxies_[proxy] = {}; }
-void Board::left(ProxyId proxy) { proxies_.erase(proxy); }
+void Board::joined(ProxyId proxy) {
+    proxies_[proxy] = {};
+    book_.joined(proxy);
+}
+
+void Board::left(ProxyId proxy) {
+    proxies_.erase(proxy);
+    book_.left(proxy);
+}
 
 std::vector<Message> Board::order(Micros now, const std::vector<Action>& actions, std::vector<std::string>& refused) {
     ++orders_;
     made_.clear();
-    Touches touched;
-    std::map<TableId, Changed> changed;
-    std::optional<MarkId> mark;
-    bool everyone = false;
+    const auto known = [&](ServerId server, const char* what) {
+        if (places_.contains(server)) return true;
+        refused.push_back(std::string(what) + " server " + std::to_string(server.v) + ", which no list named");
+        return false;
+    };
+    std::vector<Action> good;
     for (const Action& action : actions) {
-        if (const auto* line = std::get_if<act::Line>(&action)) {
-            if (places_.contains(line->server)) carry_out(*line), changed[line->table].lines += 1;
-            else refused.push_back("a line for server " + std::to_string(line->server.v) + ", which no list named");
-        } else if (const auto* clear = std::get_if<act::Clear>(&action)) {
-            tables_[clear->table] = {};
-            changed[clear->table].lines += 1, changed[clear->table].levels += 0;
-        } else if (const auto* bind = std::get_if<act::Bind>(&action)) {
-            // What came before this binding touches the users that the tables had then.
-            touch_users(std::exchange(changed, {}), touched);
-            carry_out(*bind, touched, refused);
-        } else if (const auto* withdraw = std::get_if<act::Withdraw>(&action)) {
-            if (places_.contains(withdraw->server)) carry_out(*withdraw, touched);
-            else refused.push_back("a withdrawal of server " + std::to_string(withdraw->server.v) + ", which no list named");
-        } else if (const auto* level = std::get_if<act::Level>(&action)) {
-            carry_out(*level);
-            changed[level->table].levels += 1;
-        } else if (const auto* marked = std::get_if<act::Mark>(&action)) {
-            mark = marked->mark, everyone = marked->everyone;
-        }
+        if (const auto* line = std::get_if<act::Line>(&action); line && !known(line->server, "a line for")) continue;
+        if (const auto* withdraw = std::get_if<act::Withdraw>(&action); withdraw && !known(withdraw->server, "a withdrawal of")) continue;
+        good.push_back(action);
     }
-    touch_users(changed, touched);
-    if (everyone)
-        for (const auto& [proxy, held] : proxies_) touched.try_emplace(proxy);
     std::vector<Message> out;
-    for (const auto& [proxy, touch] : touched) {
+    for (const drive::Order& order : book_.take(good, refused)) {
         Message message;
-        message.proxy = proxy, message.order = orders_, message.ordered = now, message.mark = mark;
-        message.lines = head_lines_ + touch.lines + (mark ? 1 : 0);
-        message.changes = changes_for(proxy, touch);
+        message.proxy = order.proxy, message.order = orders_, message.ordered = now, message.mark = order.mark;
+        message.lines = order.lines;
+        message.changes = changes_for(order);
         out.push_back(std::move(message));
     }
     return out;
 }
 
-// Every line of a table costs a line at each forwarder that uses it: counted by table first, since a change may be
-// of hundreds of lines and a table have a thousand users.
-void Board::touch_users(const std::map<TableId, Changed>& changed, Touches& touched) {
-    if (changed.empty()) return;
-    const auto everywhere = changed.find(kEveryTable);
-    for (const auto& [proxy, held] : proxies_) {
-        std::set<TableId> seen;
-        for (const auto& [ops, table] : held.bound) {
-            if (!seen.insert(table).second) continue;
-            const auto it = changed.find(table);
-            if (it == changed.end()) continue;
-            Touched& touch = touched[proxy];
-            touch.lines += it->second.lines + it->second.levels;
-            touch.routes = touch.routes || it->second.levels > 0;
-            if (it->second.lines > 0) touch.assignments.insert(table);
-        }
-        if (everywhere == changed.end() || held.bound.empty()) continue;
-        touched[proxy].lines += everywhere->second.levels;
-        touched[proxy].routes = true;
-    }
-}
-
-void Board::carry_out(const act::Line& a) {
-    auto& lines = tables_[a.table].lines;
-    if (a.weight > 0) lines[a.server] = a.weight;
-    else lines.erase(a.server);
-}
-
-
-void Board::carry_out(const act::Bind& a, Touches& touched, std::vector<std::string>& refused) {
-    const auto it = proxies_.find(a.proxy);
-    if (it == proxies_.end()) {
-        refused.push_back("a binding for proxy " + std::to_string(a.proxy.v) + ", which is not joined");
-        return;
-    }
-    // Operations are bound by mask; what this binding names leaves the masks it was in.
-    auto& bound = it->second.bound;
-    OpMask all = 0;
-    for (std::size_t k = 0; k < operations_.size(); ++k) all |= OpMask{1} << k;
-    const OpMask ops = a.ops == 0 ? all : a.ops;
-    std::map<OpMask, TableId> rest;
-    for (const auto& [mask, table] : bound)
-        if (const OpMask kept = mask & ~ops) rest[kept] = table;
-    rest[ops] = a.table;
-    bound = std::move(rest);
-    Touched& touch = touched[a.proxy];
-    const TableView& table = tables_[a.table];
-    touch.lines += 1 + static_cast<double>(table.lines.size() + table.levels.size() + every_table_.size() + withdrawn_.size());
-    touch.routes = true;
-    touch.assignments.insert(a.table);
-}
-
-void Board::carry_out(const act::Withdraw& a, Touches& touched) {
-    if (a.out) withdrawn_.insert(a.server);
-    else withdrawn_.erase(a.server);
-    for (const auto& [proxy, held] : proxies_) {
-        Touched& touch = touched[proxy];
-        touch.startup = true;
-        bool has = false;
-        for (const auto& [ops, table] : held.bound)
-            if (tables_[table].lines.contains(a.server)) touch.assignments.insert(table), has = true;
-        touch.lines += has ? 1 : 0;
-    }
-}
-
-void Board::carry_out(const act::Level& a) {
-    for (std::size_t k = 0; k < operations_.size(); ++k) {
-        if (!names(a.ops, k)) continue;
-        const OpId op{static_cast<int>(k)};
-        if (a.table == kEveryTable) every_table_[op] = {a.let_in, a.again};
-        else tables_[a.table].levels[op] = {a.let_in, a.again};
-    }
-}
-
-std::pair<double, Again> Board::level(TableId table, OpId op) const {
-    const double all = admit_ == Admit::Rate ? kAnyRate : 1;
-    std::pair<double, Again> out{all, usual_again_};
-    if (const auto it = every_table_.find(op); it != every_table_.end()) out = it->second;
-    const auto it = tables_.find(table);
-    if (it == tables_.end()) return out;
-    const auto own = it->second.levels.find(op);
-    if (own == it->second.levels.end()) return out;
-    return {std::min(out.first, own->second.first), own->second.second};
+// Tables whose lines an order changes, also by what it shuts out or lets back.
+std::set<TableId> Board::assignments_of(const drive::Order& order) const {
+    std::set<TableId> out;
+    for (const auto& part : order.parts)
+        if (part->whole || !part->lines.empty()) out.insert(part->table);
+    for (const auto* servers : {&order.out, &order.back})
+        for (const ServerId server : *servers)
+            for (const auto& [ops, table] : book_.held_by(order.proxy))
+                if (book_.lines(table).contains(server)) out.insert(table);
+    return out;
 }
 
-std::vector<Change> Board::changes_for(ProxyId proxy, const Touched& touched) {
-    Held& held = proxies_.at(proxy);
+std::vector<Change> Board::changes_for(const drive::Order& order) {
+    Held& held = proxies_.at(order.proxy);
+    const auto& bound = book_.held_by(order.proxy);
+    const std::set<TableId> assignments = assignments_of(order);
     std::vector<Change> out;
     const auto put = [&](ResourcePtr resource) { out.push_back({resource->type, resource->name, resource}); };
     std::set<TableId> now;
-    for (const auto& [ops, table] : held.bound) now.insert(table);
+    for (const auto& [ops, table] : bound) now.insert(table);
     for (const TableId table : now)
         if (!held.laid.contains(table)) put(cluster(table));
     for (const TableId table : now)
-        if (touched.assignments.contains(table) || !held.laid.contains(table)) put(assignment(table));
-    if (touched.startup) put(startup());
-    if (!held.bound.empty()) {
+        if (assignments.contains(table) || !held.laid.contains(table)) put(assignment(table));
+    if (!order.out.empty() || !order.back.empty()) put(startup());
+    if (!bound.empty()) {
         if (!std::exchange(held.listener, true)) put(listener());
-        if (std::string key = routes_key(held); key != held.routes) {
-            put(routes(held));
+        if (std::string key = routes_key(order.proxy); key != held.routes) {
+            put(routes(order.proxy));
             held.routes = std::move(key);
         }
     }
@@ -271,8 +189,8 @@
     if (made) return made;
     envoy::config::endpoint::v3::ClusterLoadAssignment out;
     out.set_cluster_name(cluster_name(table));
-    for (const auto& [server, weight] : tables_[table].lines)
-        add_endpoint(out, places_.at(server), weight, withdrawn_.contains(server));
+    for (const auto& [server, weight] : book_.lines(table))
+        add_endpoint(out, places_.at(server), weight, book_.withdrawn().contains(server));
     return made = keep(Type::Endpoints, out.cluster_name(), stable_bytes(out));
 }
 
@@ -281,7 +199,7 @@
     if (made) return made;
     envoy::config::endpoint::v3::ClusterLoadAssignment out;
     out.set_cluster_name(std::string(kStartup));
-    for (const ServerId server : withdrawn_) add_endpoint(out, places_.at(server), 0, true);
+    for (const ServerId server : book_.withdrawn()) add_endpoint(out, places_.at(server), 0, true);
     return made = keep(Type::Endpoints, out.cluster_name(), stable_bytes(out));
 }
 
@@ -308,20 +226,20 @@
     return listener_ = keep(Type::Listener, out.name(), stable_bytes(out));
 }
 
-std::string Board::routes_key(const Held& held) const {
+std::string Board::routes_key(ProxyId proxy) const {
     std::string key;
     for (std::size_t k = 0; k < operations_.size(); ++k)
-        for (const auto& [ops, table] : held.bound) {
+        for (const auto& [ops, table] : book_.held_by(proxy)) {
             if (!names(ops, k)) continue;
-            const auto [let_in, again] = level(table, {static_cast<int>(k)});
+            const auto [let_in, again] = book_.level(table, {static_cast<int>(k)});
             key += std::to_string(table.v) + ":" + std::to_string(let_in) + ":" +
                    std::to_string(static_cast<int>(again)) + ";";
         }
     return key;
 }
 
-ResourcePtr Board::routes(const Held& held) {
-    ResourcePtr& made = made_["routes " + routes_key(held)];
+ResourcePtr Board::routes(ProxyId proxy) {
+    ResourcePtr& made = made_["routes " + routes_key(proxy)];
     if (made) return made;
     namespace limit = envoy::extensions::filters::http::local_ratelimit::v3;
     envoy::config::route::v3::RouteConfiguration out;
@@ -330,10 +248,10 @@
     host->set_name(std::string(kRoutes));
     host->add_domains("*");
     for (std::size_t k = 0; k < operations_.size(); ++k)
-        for (const auto& [ops, table] : held.bound) {
+        for (const auto& [ops, table] : book_.held_by(proxy)) {
             if (!names(ops, k)) continue;
             const Operation& op = operations_[k];
-            const auto [let_in, again] = level(table, {static_cast<int>(k)});
+            const auto [let_in, again] = book_.level(table, {static_cast<int>(k)});
             auto* route = host->add_routes();
             route->set_name(op.name);
             route->mutable_match()->set_path(path_of(op.name));
--- a/src/xds/board.h
+++ b/src/xds/board.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "drive/orders.h"
 #include "net/network.h"
 #include "types.h"
 #include "xds/names.h"
@@ -61,60 +62,36 @@
     // left out and told in `refused`.
     std::vector<Message> order(Micros now, const std::vector<Action>& actions, std::vector<std::string>& refused);
 
-    // All of a proxy's resources as they stand, for a stream that starts over on what was bound before.
-    struct TableView {
-        std::map<ServerId, double> lines;
-        std::map<OpId, std::pair<double, Again>> levels;
-    };
-    const std::map<TableId, TableView>& tables() const { return tables_; }
     std::uint64_t orders() const { return orders_; }
 
 private:
+    // What a proxy was given on its stream.
     struct Held {
-        std::map<OpMask, TableId> bound;
         std::set<TableId> laid;  // tables whose cluster this proxy has been given
         bool listener = false;
         std::string routes;      // what its routes were made from
     };
-    struct Touched {
-        double lines = 0;
-        bool routes = false, startup = false;
-        std::set<TableId> assignments;
-    };
-    using Touches = std::map<ProxyId, Touched>;
 
-    // So many lines and levels of a table were ordered.
-    struct Changed {
-        double lines = 0, levels = 0;
-    };
-    void carry_out(const act::Line& a);
-    void carry_out(const act::Bind& a, Touches& touched, std::vector<std::string>& refused);
-    void carry_out(const act::Withdraw& a, Touches& touched);
-    void carry_out(const act::Level& a);
-    void touch_users(const std::map<TableId, Changed>& changed, Touches& touched);
-    std::vector<Change> changes_for(ProxyId proxy, const Touched& touched);
+    std::vector<Change> changes_for(const drive::Order& order);
+    std::set<TableId> assignments_of(const drive::Order& order) const;
 
     ResourcePtr cluster(TableId table);
     ResourcePtr assignment(TableId table);
     ResourcePtr startup();
     ResourcePtr listener();
-    ResourcePtr routes(const Held& held);
-    std::string routes_key(const Held& held) const;
-    std::pair<double, Again> level(TableId table, OpId op) const;
+    ResourcePtr routes(ProxyId proxy);
+    std::string routes_key(ProxyId proxy) const;
     ResourcePtr keep(Type type, std::string name, std::string bytes);
 
     std::vector<Operation> operations_;
     std::vector<std::string> zones_;
     Pick pick_;
     Admit admit_;
-    Again usual_again_;
-    double try_factor_, head_lines_;
+    double try_factor_;
     int ejects_after_;
     Micros eject_time_;
     std::map<ServerId, ServerPlace> places_;
-    std::map<TableId, TableView> tables_;
-    std::map<OpId, std::pair<double, Again>> every_table_;
-    std::set<ServerId> withdrawn_;
+    drive::OrderBook book_;
     std::map<ProxyId, Held> proxies_;
     std::uint64_t orders_ = 0;
     // Resources made in this order, so that many proxies share one.
--- a/tests/program/child.h
+++ b/tests/program/child.h
@@ -67,6 +67,7 @@
     }
     void signal(int which) { kill(pid_, which); }
     const std::string& text() const { return text_; }
+    pid_t id() const { return pid_; }
     std::string after(const std::string& mark) {
         EXPECT_TRUE(shows(mark)) << text_;
         const auto at = text_.find(mark);
--- /dev/null
+++ b/tests/program/node_test.cpp
@@ -0,0 +1,319 @@
+// The governor on the platform, on sockets and the virtual clock; and one as a process of its own.
+#include <gtest/gtest.h>
+
+#include "child.h"
+#include "platform_stage.h"
+
+namespace badgergrade::test {
+namespace {
+
+using namespace std::chrono_literals;
+
+TEST(Node, AnswersPingAndServesAProxyFromItsFirstMessage) {
+    NodeStage stage;
+    stage.start();
+    auto peer = stage.peer();
+    peer->say("PING");
+    stage.run(50ms);
+    EXPECT_EQ(peer->text, "PONG\n");
+    auto proxy = stage.proxy(1);
+    stage.run(1s);
+    EXPECT_NE(proxy->text.find("CONFIG for look up replace 1 rows s-"), std::string::npos) << proxy->text;
+    EXPECT_NE(proxy->text.find("stamp "), std::string::npos);
+    EXPECT_EQ(stage.service->figures().proxies, 1u);
+}
+
+TEST(Node, BytesInPiecesAndManyMessagesAtOnceAreTheSame) {
+    NodeStage stage;
+    stage.start();
+    auto proxy = stage.peer();
+    std::string bytes;
+    resp::write(bytes, {"SUBSCRIBE", "proxy", "2", "zone", "north", "weight", "5", "fresh", "1"});
+    resp::write(bytes, {"PING"});
+    for (const char c : bytes) proxy->send(std::string(1, c)), stage.run(1ms);
+    stage.run(100ms);
+    EXPECT_EQ(stage.service->figures().proxies, 1u);
+    EXPECT_NE(proxy->text.find("PONG"), std::string::npos);
+}
+
+TEST(Node, EachBadClientIsClosedOrTold) {
+    NodeStage stage;
+    stage.start();
+    std::vector<std::unique_ptr<PlatformPeer>> bad;
+    const auto add = [&](const std::string& bytes) {
+        bad.push_back(stage.peer());
+        if (!bytes.empty()) bad.back()->send(bytes);
+    };
+    std::string orders;
+    resp::write(orders, {"CONFIG", "drop", "s-a"});
+    for (const std::string& bytes : {std::string(), std::string("GET / HTTP/1.1\r\n\r\n"), std::string("PING\r\n"), std::string("\x16\x03\x01"),
+                                     std::string("*3\r\n$9\r\nSUBSCR"), std::string("*-1\r\n"), std::string("*1\r\n$1048577\r\n"), orders})
+        add(bytes);
+    for (const char* words : {"SUBSCRIBE proxy 9 zone north weight 1 fresh 1", "SUBSCRIBE proxy 1 zone west weight 1 fresh 1", "SOURCE zone west",
+                              "RATE proxy 1 class order tries 1 failed 0 span_ms 100", "ACK proxy 1 mark 1 took_ms 1",
+                              "LOAD zone north server s-a tries 1 failed 0 mean_ms 1 span_ms 100"}) {
+        add({});
+        bad.back()->say(words);
+    }
+    auto endless = stage.peer();
+    endless->send("*1\r\n$16000\r\n");
+    for (int k = 0; k < 30; ++k) endless->send(std::string(100, 'x')), stage.run(100ms);
+    EXPECT_TRUE(endless->owed_nothing());
+    for (std::size_t k = 0; k < bad.size(); ++k) EXPECT_TRUE(bad[k]->owed_nothing()) << k;
+    EXPECT_EQ(stage.service->figures().connections, 0u);
+}
+
+TEST(Node, AStrangerThatOnlyAsksForASignOfLifeIsNotKeptForGood) {
+    NodeStage stage;
+    stage.start();
+    auto peer = stage.peer();
+    for (int k = 0; k < 20; ++k) peer->say("PING"), stage.run(200ms);
+    EXPECT_NE(peer->ended, "");
+    EXPECT_EQ(stage.service->figures().connections, 0u);
+}
+
+TEST(Node, HundredsOfSilentConnectionsCostNoProxyItsPlace) {
+    NodeStage stage(48);
+    stage.start();
+    auto first = stage.proxy(0);
+    stage.run(50ms);
+    std::vector<std::unique_ptr<PlatformPeer>> silent;
+    for (int k = 0; k < 200; ++k) silent.push_back(stage.peer());
+    auto second = stage.proxy(1);
+    stage.run(300ms);
+    for (int k = 0; k < 100; ++k) silent.push_back(stage.peer());
+    auto third = stage.proxy(2);
+    stage.run(300ms);
+    EXPECT_EQ(stage.service->figures().proxies, 3u);
+    EXPECT_LE(stage.service->figures().connections, 28u);
+    EXPECT_EQ(first->ended + second->ended + third->ended, "");
+    stage.run(2s);
+    EXPECT_EQ(stage.service->figures().connections, 3u);
+    for (const auto& one : silent) EXPECT_TRUE(one->owed_nothing());
+}
+
+TEST(Node, SpoiltMessagesAreDroppedAndThoseAroundThemCount) {
+    NodeStage stage;
+    stage.start();
+    auto proxy = stage.proxy(1);
+    auto collector = stage.peer();
+    collector->say("SOURCE zone north");
+    stage.run(300ms);
+    const auto before = stage.service->figures();
+    EXPECT_GT(before.orders, 0);
+    const auto at = proxy->text.find("stamp ");
+    ASSERT_NE(at, std::string::npos);
+    const std::string mark = proxy->text.substr(at + 6, proxy->text.find_first_of(" \n", at + 6) - at - 6);
+    for (const char* words : {"ACK proxy 1 took_ms 3", "ACK proxy 2 mark 1 took_ms 3", "ACK proxy 1 mark 60000 took_ms 3", "RATE proxy 2 class order tries 1 failed 0 span_ms 100",
+                              "RATE proxy 1 class paint tries 1 failed 0 span_ms 100", "SOURCE zone north", "SUBSCRIBE proxy 1 zone north weight 1 fresh 1"})
+        proxy->say(words);
+    proxy->send("*3\r\n$3\r\nACK\r\n:1\r\n$-1\r\n");
+    proxy->say("ACK proxy 1 mark " + mark + " took_ms 10");
+    collector->say("LOAD zone north server nobody tries 1 failed 0 mean_ms 1 span_ms 100");
+    collector->say("LOAD zone south server s-a tries 1 failed 0 mean_ms 1 span_ms 100");
+    collector->say("RATE proxy 1 class order tries 1 failed 0 span_ms 100");
+    stage.run(100ms);
+    const auto after = stage.service->figures();
+    EXPECT_EQ(after.spoilt - before.spoilt, 10);
+    EXPECT_EQ(after.applied - before.applied, 1);
+    EXPECT_EQ(proxy->ended + collector->ended, "");
+    EXPECT_LE(stage.logged("message.spoilt"), 6) << "lines that peers cause are limited";
+    proxy->send("what can't be read any more");
+    stage.run(100ms);
+    EXPECT_EQ(stage.service->figures().proxies, 0u);
+    EXPECT_EQ(stage.service->figures().leaves, 1);
+}
+
+TEST(Node, AnAckOfAnOlderStreamDoesNotCountForANewerOne) {
+    NodeStage stage;
+    stage.start();
+    auto old = stage.proxy(1);
+    stage.run(300ms);
+    const auto at = old->text.find("stamp ");
+    ASSERT_NE(at, std::string::npos);
+    const std::string mark = old->text.substr(at + 6, old->text.find_first_of(" \n", at + 6) - at - 6);
+    auto fresh = stage.proxy(1, "north", "0");
+    fresh->say("ACK proxy 1 mark " + mark + " took_ms 10");
+    stage.run(2ms);
+    EXPECT_EQ(stage.service->figures().applied, 0);
+}
+
+TEST(Node, TheNewestStreamOfAProxyStands) {
+    NodeStage stage;
+    stage.start();
+    auto old = stage.proxy(1);
+    stage.run(100ms);
+    auto fresh = stage.proxy(1, "north", "0");
+    stage.run(100ms);
+    EXPECT_NE(old->ended, "") << "closed by the governor";
+    old.reset();
+    stage.run(300ms);
+    const auto figures = stage.service->figures();
+    EXPECT_EQ(figures.proxies, 1u);
+    EXPECT_EQ(figures.joins, 2);
+    EXPECT_EQ(figures.leaves, 1) << "left once for the old joining, and not for its late end";
+    EXPECT_NE(fresh->text.find("replace 1"), std::string::npos) << "a new stream is bound anew";
+}
+
+TEST(Node, AllProxiesLeaveAndComeBackInOneInstant) {
+    NodeStage stage;
+    stage.start();
+    for (int round = 0; round < 5; ++round) {
+        std::vector<std::unique_ptr<PlatformPeer>> all;
+        for (int number = 0; number < 4; ++number) all.push_back(stage.proxy(number, number % 2 ? "north" : "south", round ? "0" : "1"));
+        stage.run(200ms);
+        EXPECT_EQ(stage.service->figures().proxies, 4u);
+        for (const auto& one : all) EXPECT_NE(one->text.find("replace 1"), std::string::npos);
+    }
+    stage.run(100ms);
+    EXPECT_EQ(stage.service->figures().proxies, 0u);
+    EXPECT_EQ(stage.service->figures().joins, stage.service->figures().leaves);
+}
+
+// ---- discovery
+
+TEST(Node, FollowsDiscoveryWithoutAGap) {
+    NodeStage stage;
+    stage.start();
+    auto proxy = stage.proxy(1);
+    stage.run(500ms);
+    stage.discovery.put(row("s-a", "north", "Terminating"));
+    stage.discovery.put(row("s-d", "north"));
+    stage.run(500ms);
+    EXPECT_NE(proxy->text.find("s-a:0"), std::string::npos) << "the drain leaves the table: " << proxy->text;
+    EXPECT_EQ(stage.service->figures().servers, 4u);
+    for (std::size_t k = 1; k < stage.discovery.asked_from.size(); ++k) EXPECT_GE(stage.discovery.asked_from[k], stage.discovery.asked_from[k - 1]);
+    EXPECT_EQ(stage.discovery.asked_from.back(), stage.discovery.generation());
+}
+
+TEST(Node, ASilentDiscoveryIsNoticedAndWhatItThenSaysIsTaken) {
+    NodeStage stage;
+    stage.start();
+    stage.run(1s);
+    stage.discovery.silent = true;
+    stage.discovery.put(row("s-d", "south"));
+    stage.run(10s);
+    EXPECT_GE(stage.logged("discovery.trouble"), 3);
+    EXPECT_EQ(stage.service->figures().servers, 3u) << "the list stays valid";
+    stage.discovery.silent = false;
+    stage.run(3s);
+    EXPECT_EQ(stage.service->figures().servers, 4u);
+}
+
+TEST(Node, ABrokenOrUnreadableDiscoveryIsAskedAgain) {
+    NodeStage stage;
+    stage.start();
+    stage.run(100ms);
+    stage.discovery.break_off();
+    stage.run(300ms);
+    stage.discovery.garbage = true;
+    stage.discovery.put(row("s-d", "south"));
+    stage.run(2s);
+    EXPECT_EQ(stage.service->figures().servers, 3u);
+    EXPECT_LE(stage.discovery.asked_from.size(), 40u) << "no busy loop";
+    stage.discovery.garbage = false;
+    stage.run(1s);
+    EXPECT_EQ(stage.service->figures().servers, 4u);
+}
+
+TEST(Node, AReloadMovesDiscoveryWithoutALostOrRepeatedChange) {
+    NodeStage stage;
+    Discovery second(stage.loop);
+    stage.start();
+    stage.run(500ms);
+    stage.discovery.put(row("s-d", "south"));
+    stage.run(500ms);
+    second.begin_at(2);
+    second.put(row("s-e", "south"));
+    auto moved = stage.config;
+    moved.discovery = second.address();
+    stage.service->reload(moved);
+    stage.run(200ms);
+    stage.discovery.close_open();
+    stage.run(1s);
+    EXPECT_EQ(stage.service->figures().servers, 5u);
+    EXPECT_EQ(second.asked_from.front(), 2u);
+    const auto calls = stage.discovery.asked_from.size();
+    stage.service->reload(moved);
+    stage.run(3s);
+    EXPECT_EQ(stage.discovery.asked_from.size(), calls) << "the old one is not asked again";
+    EXPECT_EQ(stage.logged("discovery.trouble"), 0);
+}
+
+// ---- as a process
+
+std::string config_file(const std::string& name, const std::string& text) { return temporary(name, text); }
+
+std::int64_t memory_kb(pid_t process, const std::string& what) {
+    std::ifstream in("/proc/" + std::to_string(process) + "/status");
+    for (std::string word; in >> word;)
+        if (word == what) {
+            std::int64_t kb = 0;
+            return in >> kb ? kb : 0;
+        }
+    return 0;
+}
+
+struct Process {
+    explicit Process(const std::string& config) {
+        setenv("NODE_CONFIG", config.c_str(), 1);
+        child = std::make_unique<Child>(std::vector<std::string>{"node"});
+        unsetenv("NODE_CONFIG");
+    }
+    std::unique_ptr<Child> child;
+};
+
+TEST(NodeProgram, AnUnreadableConfigurationIsOneLineAndExitTwo) {
+    for (const std::string& path : {config_file("node-bad.json", "{"), std::string("/nowhere/config.json"), std::string()}) {
+        Process process(path);
+        EXPECT_EQ(process.child->wait(), 2);
+        EXPECT_EQ(std::count(process.child->text().begin(), process.child->text().end(), '\n'), 1) << process.child->text();
+    }
+}
+
+TEST(NodeProgram, PlaysAShortDayAgainstStandInsReloadsAndEnds) {
+    net::Loop loop;
+    Discovery discovery(loop), second(loop);
+    const std::string path = config_file("node.json", node_config("127.0.0.1:0", net::to_text(discovery.address())));
+    Process process(path);
+    const std::string listen = process.child->after("node.started listen=");
+    ASSERT_NE(listen, "") << process.child->text();
+    std::vector<std::unique_ptr<PlatformPeer>> proxies;
+    PlatformPeer collector(loop, net::parse_address(listen));
+    collector.say("SOURCE zone north");
+    for (int number = 0; number < 4; ++number) {
+        proxies.push_back(std::make_unique<PlatformPeer>(loop, net::parse_address(listen)));
+        proxies.back()->say("SUBSCRIBE proxy " + std::to_string(number) + " zone " + (number % 2 ? "north" : "south") + " weight 5 fresh 1");
+    }
+    // Until it is so, and never longer than the test's patience: no verdict hangs on how fast this machine is.
+    const auto until = [&](const std::function<bool()>& so) {
+        for (int looks = 0; looks < 1500 && !so(); ++looks) loop.run_until(loop.clock().now() + 20ms);
+        return so();
+    };
+    EXPECT_TRUE(until([&] { return std::all_of(proxies.begin(), proxies.end(), [](const auto& p) { return p->text.find("replace 1") != std::string::npos; }); }));
+    collector.say("LOAD zone north server s-a tries 20 failed 0 mean_ms 40 span_ms 1000");
+    discovery.put(row("s-a", "north", "Terminating"));
+    EXPECT_TRUE(until([&] { return proxies[1]->text.find("s-a:0") != std::string::npos; }));
+
+    std::ofstream(path) << "{";
+    process.child->signal(SIGHUP);
+    EXPECT_TRUE(process.child->shows("config.refused"));
+    second.begin_at(discovery.generation());
+    std::ofstream(path) << node_config(listen, net::to_text(second.address()));
+    process.child->signal(SIGHUP);
+    EXPECT_TRUE(process.child->shows("config.reloaded"));
+    second.put(row("s-d", "north"));
+    EXPECT_TRUE(until([&] { return proxies[1]->text.find("s-d:") != std::string::npos; }));
+    for (const auto& proxy : proxies) EXPECT_EQ(proxy->ended, "") << "streams stay through a reload";
+
+#ifndef __SANITIZE_ADDRESS__
+    // The configuration was read into a buffer of the largest size: 16 MiB of the 32 MB that a small governor has.
+    EXPECT_LT(memory_kb(process.child->id(), "VmHWM:"), 20 * 1024);
+#endif
+    process.child->signal(SIGTERM);
+    EXPECT_EQ(process.child->wait(), 0);
+    EXPECT_NE(process.child->text().find("node.stopping"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace badgergrade::test
--- /dev/null
+++ b/tests/program/platform_test.cpp
@@ -0,0 +1,281 @@
+// The platform's words without sockets: configuration, discovery's answers, messages, orders as CONFIG.
+#include <gtest/gtest.h>
+
+#include "drive/driver.h"
+#include "platform/messages.h"
+#include "platform/orders_text.h"
+#include "platform_stage.h"
+
+namespace badgergrade::test {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Micros kWallAhead = 1700000000s;
+
+struct Words {
+    platform::NodeConfig config = platform::read_config(node_config());
+    platform::Servers servers{config.names, kWallAhead};
+    Words() { servers.take(config.known, ListForm::Cached, 1000s); }
+    platform::Message read(std::vector<std::string> words) const {
+        return platform::read_message({std::move(words), true}, config.names, servers);
+    }
+    std::string spoilt(std::vector<std::string> words) const {
+        try {
+            read(std::move(words));
+        } catch (const platform::Spoilt& wrong) {
+            return wrong.what();
+        }
+        return {};
+    }
+    ServerId server(const char* id) const { return *servers.number(id); }
+};
+
+// ---- configuration
+
+TEST(NodeConfig, IsReadWithTheSimulatorsNamesAndUnits) {
+    const auto config = platform::read_config(node_config());
+    EXPECT_EQ(config.name, "n3");
+    EXPECT_EQ(net::to_text(config.discovery), "127.0.0.1:8500");
+    EXPECT_EQ(config.seed, 0x8c1f30d27a5be964u);
+    EXPECT_EQ(config.sockets, 256);
+    EXPECT_EQ(config.batch, 4ms);
+    EXPECT_EQ(config.settings.zones, 2);
+    EXPECT_EQ(config.settings.operations.size(), 2u);
+    EXPECT_EQ(config.settings.operations[1].effect, Effect::SideEffecting);
+    EXPECT_EQ(config.settings.operations[0].integration_timeout, 2s);
+    EXPECT_TRUE(config.settings.operations[1].own_zone);
+    EXPECT_EQ(config.settings.cold_time, 15s);
+    EXPECT_EQ(config.settings.messages_most, 20);
+    EXPECT_EQ(config.names.operations, (std::vector<std::string>{"look up", "order"}));
+    EXPECT_EQ(config.names.load_columns, (std::vector<std::string>{"inflight", "util"}));
+    ASSERT_EQ(config.known.instances.size(), 3u);
+    EXPECT_TRUE(config.known.whole);
+}
+
+TEST(NodeConfig, SaysWhatIsWrong) {
+    const auto why = [](std::string text) {
+        try {
+            platform::read_config(text);
+        } catch (const platform::Unreadable& wrong) {
+            return std::string(wrong.what());
+        }
+        return std::string();
+    };
+    const auto with = [](const std::string& from, const std::string& to) {
+        std::string text = node_config();
+        text.replace(text.find(from), from.size(), to);
+        return text;
+    };
+    EXPECT_NE(why("{"), "");
+    EXPECT_NE(why("[]"), "");
+    EXPECT_NE(why(with("\"listen\"", "\"lost\"")), "");
+    EXPECT_NE(why(with("127.0.0.1:8500", "nowhere")), "");
+    EXPECT_NE(why(with("8c1f30d27a5be964", "seed!")), "");
+    EXPECT_NE(why(with("\"effect\":\"safe\"", "\"effect\":\"odd\"")), "");
+    EXPECT_NE(why(with("\"sockets\":256", "\"sockets\":3")), "");
+    EXPECT_EQ(why(with("\"quantum\":4.0", "\"quantum\":4.0,\"novel\":{\"deep\":[1,{\"a\":null}]}")), "") << "unknown keys are skipped";
+}
+
+TEST(Instances, AnEntryThatCantBeReadIsLeftOutAndNamed) {
+    const auto list = platform::read_instances(
+        R"({"generation":4,"reset":false,"instances":[{"instanceId":"a","lifecycle":"Odd"},{"instanceId":"b","zone":"north","lifecycle":"Gone"},7]})");
+    EXPECT_EQ(list.generation, 4u);
+    EXPECT_FALSE(list.whole);
+    ASSERT_EQ(list.instances.size(), 1u);
+    EXPECT_EQ(list.left_out.size(), 2u);
+    EXPECT_THROW(platform::read_instances(R"({"instances":[]})"), platform::Unreadable);
+}
+
+// ---- servers
+
+TEST(Servers, KeepTheirNumberThroughAbsenceAndRestart) {
+    Words w;
+    const ServerId a = w.server("s-a");
+    platform::InstanceList change{2, false, {{"s-a", "north", ServerState::Gone, 1, 0}}, {}};
+    w.servers.take(change, ListForm::Delta, 1010s);
+    EXPECT_EQ(w.server("s-a"), a) << "it can still be named";
+    change.instances = {{"s-a", "north", ServerState::Ready, 1, 1700001020000.0}};
+    const auto list = w.servers.take(change, ListForm::Delta, 1020s);
+    EXPECT_EQ(list.rows.at(0).server, a);
+    EXPECT_EQ(list.rows.at(0).started, 1020s);
+}
+
+TEST(Servers, AStartHasOneTimeAndNeverBecomesLongAgo) {
+    Words w;
+    const auto start = [&](double ms) {
+        return w.servers.take({3, false, {{"s-a", "north", ServerState::Ready, 1, ms}}, {}}, ListForm::Delta, 1000s).rows.at(0).started;
+    };
+    EXPECT_EQ(start(0), 0us) << "long ago";
+    EXPECT_EQ(start(1700000990000.0), 990s);
+    EXPECT_EQ(start(1700000990000.0), 990s) << "a list that repeats it";
+    EXPECT_EQ(start(1600000000000.0), 1us) << "before this clock began, and yet a start";
+}
+
+TEST(Servers, NumbersOfThoseLongGoneAreUsedAgain) {
+    Words w;
+    Micros now = 1000s;
+    for (int day = 0; day < 500; ++day, now += 200s) {
+        const std::string id = "new-" + std::to_string(day), old = "new-" + std::to_string(day - 1);
+        w.servers.take({1, false, {{id, "north", ServerState::Ready, 1, 0}, {old, "north", ServerState::Gone, 1, 0}}, {}}, ListForm::Delta, now);
+        w.servers.forget(now, [](ServerId) { return false; });
+    }
+    EXPECT_LE(w.servers.size(), 6u);
+    EXPECT_LE(w.server("new-499").v, 8u);
+    w.servers.take({2, true, {}, {}}, ListForm::Full, now);
+    w.servers.forget(now + 300s, [&](ServerId server) { return server == w.server("s-a"); });
+    EXPECT_EQ(w.servers.size(), 1u) << "what is still named stays";
+}
+
+// ---- messages
+
+TEST(Messages, AreReadIntoTheModulesWords) {
+    Words w;
+    const auto load = std::get<ev::Heard>(w.read({"LOAD", "zone", "south", "server", "s-b", "tries", "212", "failed", "3", "mean_ms", "41.7", "span_ms",
+                                                  "1000.0", "load", "util:0.61,other:3,inflight:7"}));
+    EXPECT_EQ(load.zone.v, 1);
+    EXPECT_EQ(load.server, w.server("s-b"));
+    EXPECT_EQ(load.tries, 212);
+    EXPECT_EQ(load.errored, 3);
+    EXPECT_EQ(load.mean, 41700us);
+    EXPECT_EQ(load.span, 1s);
+    EXPECT_EQ(load.load, (std::vector<double>{7, 0.61}));
+    const auto joined = std::get<ev::Joined>(w.read({"SUBSCRIBE", "proxy", "3", "zone", "north", "weight", "21.5", "fresh", "1", "novel", "x"}));
+    EXPECT_EQ(joined.proxy.v, 3);
+    EXPECT_TRUE(joined.fresh);
+    EXPECT_EQ(joined.rate, 21.5);
+    const auto applied = std::get<ev::Applied>(w.read({"ACK", "proxy", "3", "mark", "905", "took_ms", "310.4"}));
+    EXPECT_EQ(applied.mark.v, 905);
+    EXPECT_EQ(applied.took, 310400us);
+    const auto rate = std::get<ev::Demand>(w.read({"RATE", "proxy", "3", "class", "look up", "tries", "19", "failed", "0", "span_ms", "1000.0"}));
+    EXPECT_EQ(rate.op.v, 0);
+    EXPECT_EQ(rate.count, 19);
+    EXPECT_EQ(std::get<platform::Source>(w.read({"SOURCE", "zone", "south"})).zone.v, 1);
+    EXPECT_TRUE(std::holds_alternative<platform::Ping>(w.read({"PING"})));
+}
+
+TEST(Messages, SpoiltOnesSayWhy) {
+    Words w;
+    const std::vector<std::string> good{"LOAD", "zone", "south", "server", "s-b", "tries", "212", "failed", "3", "mean_ms", "41.7", "span_ms", "1000.0"};
+    EXPECT_EQ(w.spoilt(good), "");
+    for (std::size_t field = 1; field < good.size(); field += 2) {
+        auto missing = good;
+        missing.erase(missing.begin() + static_cast<std::ptrdiff_t>(field), missing.begin() + static_cast<std::ptrdiff_t>(field) + 2);
+        EXPECT_NE(w.spoilt(missing), "") << good[field];
+        auto doubled = good;
+        doubled.insert(doubled.end(), {good[field], good[field + 1]});
+        EXPECT_NE(w.spoilt(doubled), "") << good[field];
+        for (const char* wrong : {"", "nan", "inf", "-inf", "-1", "1e300", "x", "0x10", " 1", "1 "}) {
+            auto spoilt = good;
+            spoilt[field + 1] = wrong;
+            EXPECT_NE(w.spoilt(spoilt), "") << good[field] << "=" << wrong;
+        }
+    }
+    auto odd = good;
+    odd.pop_back();
+    EXPECT_NE(w.spoilt(odd), "");
+    EXPECT_NE(w.spoilt({}), "");
+    EXPECT_NE(w.spoilt({"CONFIG", "stamp", "1"}), "");
+    EXPECT_NE(w.spoilt({"SUBSCRIBE", "proxy", "4", "zone", "north", "weight", "1", "fresh", "1"}), "") << "0 to 3 are proxies";
+    EXPECT_NE(w.spoilt({"SUBSCRIBE", "proxy", "1.5", "zone", "north", "weight", "1", "fresh", "1"}), "");
+    EXPECT_NE(w.spoilt({"SUBSCRIBE", "proxy", "1", "zone", "north", "weight", "1", "fresh", "yes"}), "");
+    EXPECT_NE(w.spoilt({"ACK", "proxy", "1", "mark", "65536", "took_ms", "1"}), "");
+    EXPECT_NE(w.spoilt({"RATE", "proxy", "1", "class", "paint", "tries", "1", "failed", "0", "span_ms", "1"}), "");
+    EXPECT_NE(w.spoilt({"RATE", "proxy", "1", "class", "order", "tries", "1", "failed", "0", "span_ms", "0"}), "");
+    EXPECT_THROW(platform::read_message({{"PING"}, false}, w.config.names, w.servers), platform::Spoilt);
+}
+
+// ---- orders
+
+struct Orders : Words {
+    drive::OrderBook book{config.settings};
+    std::vector<std::string> refused;
+    std::map<int, std::string> give(std::vector<Action> actions) {
+        std::map<int, std::string> out;
+        lines.clear();
+        for (const auto& order : book.take(actions, refused)) {
+            out[order.proxy.v] = readable(platform::to_config(order, config.names, servers).value_or("too long"));
+            lines[order.proxy.v] = order.lines;
+        }
+        return out;
+    }
+    std::map<int, double> lines;
+    Action line(int table, const char* id, double weight) const { return act::Line{{table}, server(id), weight}; }
+};
+
+TEST(Orders, ABindingIsTheWholeTableAndLaterLinesAreItsChanges) {
+    Orders o;
+    o.book.joined({1}), o.book.joined({2});
+    auto sent = o.give({o.line(7, "s-a", 1.5), o.line(7, "s-b", 0.25), act::Bind{{7}, 0, {1}}, act::Mark{{905}, false}});
+    ASSERT_EQ(sent.size(), 1u);
+    EXPECT_EQ(sent[1], "CONFIG replace 1 rows s-a:1.5,s-b:0.25 stamp 905\n");
+    EXPECT_EQ(o.lines[1], 3 + 1 + 2 + 1) << "head, binding, lines, mark";
+    sent = o.give({o.line(7, "s-b", 0), o.line(7, "s-c", 1e-7), act::Mark{{906}, false}});
+    EXPECT_EQ(sent[1], "CONFIG rows s-b:0,s-c:0.0000001 stamp 906\n");
+    EXPECT_EQ(o.lines[1], 3 + 2 + 1);
+    EXPECT_TRUE(o.give({o.line(8, "s-b", 1)}).empty()) << "a table that nobody uses";
+}
+
+TEST(Orders, OperationsAreNamedWhereATableIsNotForAll) {
+    Orders o;
+    o.book.joined({1});
+    auto sent = o.give({o.line(7, "s-a", 1), o.line(8, "s-b", 1), act::Bind{{7}, 1, {1}}, act::Bind{{8}, 2, {1}}, act::Mark{{1}, false}});
+    EXPECT_EQ(sent[1], "CONFIG for look up replace 1 rows s-a:1 part 1\nCONFIG for order replace 1 rows s-b:1 stamp 1\n");
+    sent = o.give({act::Bind{{8}, 0, {1}}});
+    EXPECT_EQ(sent[1], "CONFIG replace 1 rows s-b:1\n");
+}
+
+TEST(Orders, LevelsGoWithTheirMannerOfTryingAgain) {
+    Orders o;
+    o.book.joined({1}), o.book.joined({2});
+    auto sent = o.give({o.line(7, "s-a", 1), act::Level{{7}, 1, 0.5, Again::Never}, act::Bind{{7}, 0, {1}}});
+    EXPECT_EQ(sent[1], "CONFIG replace 1 rows s-a:1 part 1\nCONFIG for look up gate 0.5 again 0\n");
+    sent = o.give({act::Level{kEveryTable, 0, 0.8, Again::AfterProof}});
+    EXPECT_EQ(sent[1], "CONFIG for look up gate 0.5 again 0 part 1\nCONFIG for order gate 0.8 again 1\n") << "the lower holds, and the table's own manner";
+    sent = o.give({act::Clear{{7}}, o.line(7, "s-b", 2)});
+    EXPECT_EQ(sent[1], "CONFIG replace 1 rows s-b:2 part 1\nCONFIG for look up+order gate 0.8 again 1\n") << "levels for all accompany a whole table";
+}
+
+TEST(Orders, AProxyThatComesOverIsToldOnlyWhatItShutsOutWrongly) {
+    Orders o;
+    o.book.joined({1});
+    o.give({o.line(7, "s-a", 1), o.line(7, "s-b", 1), act::Bind{{7}, 0, {1}}});
+    auto sent = o.give({act::Withdraw{o.server("s-a"), true}, act::Withdraw{o.server("s-c"), true}});
+    EXPECT_EQ(sent[1], "CONFIG drop s-a\n") << "s-c is in no table that it holds";
+    o.book.left({1});
+    EXPECT_TRUE(o.give({act::Withdraw{o.server("s-a"), false}, act::Withdraw{o.server("s-b"), true}}).empty());
+    o.book.joined({1});
+    sent = o.give({act::Bind{{7}, 0, {1}}});
+    EXPECT_EQ(sent[1], "CONFIG replace 1 rows s-a:1,s-b:1 drop s-b undrop s-a\n");
+}
+
+TEST(Orders, AMarkForEveryoneReachesThoseWithoutChanges) {
+    Orders o;
+    o.book.joined({1}), o.book.joined({2});
+    const auto sent = o.give({act::Mark{{5}, true}});
+    EXPECT_EQ(sent, (std::map<int, std::string>{{1, "CONFIG stamp 5\n"}, {2, "CONFIG stamp 5\n"}}));
+    o.give({act::Bind{{7}, 0, {9}}});
+    EXPECT_EQ(o.refused.size(), 1u) << "not joined";
+}
+
+// ---- driving
+
+TEST(Driver, TwoTimersOfOneTokenAreTwoEventsAndEventsOfAMomentOneDecision) {
+    base::VirtualClock clock(1000s);
+    Words w;
+    drive::Driver driver(clock, {1}, w.config.settings, 1, 4ms);
+    int decisions = 0;
+    driver.on_actions = [&](const std::vector<Action>&) { ++decisions; };
+    driver.tell(w.servers.take(w.config.known, ListForm::Cached, clock.now()));
+    driver.tell(ev::Joined{{1}, true, {0}, 5});
+    EXPECT_EQ(driver.timers(), 0u);
+    while (clock.step(1000s + 10ms)) {}
+    EXPECT_EQ(decisions, 1) << "one binding for the two events";
+    EXPECT_EQ(driver.timers(), 1u);
+    driver.tell(ev::Timer{"beat"});
+    while (clock.step(1000s + 20ms)) {}
+    EXPECT_EQ(driver.timers(), 2u) << "the beat that was told by hand set a second one";
+}
+
+}  // namespace
+}  // namespace badgergrade::test
