--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -44,8 +44,8 @@
 constexpr Micros kShedEvery = 1s;
 constexpr double kAnyRate = 1e6;
 constexpr Micros kBeat = 250ms;
-// Demand is averaged over this long: a retry wave or a burst of seconds must not rock the shares.
-constexpr Micros kDemandBucket = 1250ms;
+// Demand is averaged over eight of these, three reports: ten seconds were two servers late in a burst.
+constexpr Micros kDemandBucket = 800ms;
 // The verdict window spans a few reports, which come every one or two seconds.
 constexpr Micros kMetBucket = 1s;
 constexpr int kMetWindow = 4;
--- a/src/node/service.cpp
+++ b/src/node/service.cpp
@@ -233,6 +233,8 @@
         driver_.tell(*applied);
     } else if (const auto* demand = std::get_if<ev::Demand>(&message)) {
         if (demand->proxy != connection.proxy) return spoilt("a RATE in another proxy's name");
+        log_.debug("asked", {{"proxy", demand->proxy.v}, {"operation", demand->op.v}, {"tries", demand->count}, {"failed", demand->errored},
+                             {"span_us", demand->span.count()}});
         driver_.tell(*demand);
     } else {
         spoilt("a message that is not a proxy's");
