--- a/tests/program/node_test.cpp
+++ b/tests/program/node_test.cpp
@@ -170,6 +170,55 @@
     EXPECT_EQ(stage.service->figures().joins, stage.service->figures().leaves);
 }
 
+TEST(Node, APeerThatReadsNothingIsEndedAndTheOthersAreNot) {
+    NodeStage stage;
+    stage.start();
+    auto deaf = stage.proxy(1);
+    auto good = stage.proxy(2);
+    stage.run(100ms);
+    deaf->stop_reading();
+    std::string pings;
+    for (int k = 0; k < 50000; ++k) resp::write(pings, {"PING"});
+    // Until the kernel's own buffers are full and ours have reached their bound.
+    for (int k = 0; k < 60 && stage.service->figures().proxies == 2; ++k) deaf->send(pings), stage.run(10ms);
+    EXPECT_EQ(stage.service->figures().proxies, 1u);
+    EXPECT_EQ(stage.logged("unread"), 1);
+    good->text.clear();
+    good->say("PING");
+    stage.run(10ms);
+    EXPECT_NE(good->text.find("PONG"), std::string::npos);
+}
+
+TEST(Node, FourHundredProxiesDialInOneInstant) {
+    NodeStage stage(1024);
+    stage.config.names.proxies = stage.config.settings.proxies = 400;
+    stage.start();
+    std::vector<std::unique_ptr<PlatformPeer>> all;
+    for (int number = 0; number < 400; ++number) all.push_back(stage.proxy(number, number % 2 ? "north" : "south"));
+    stage.run(3s);
+    EXPECT_EQ(stage.service->figures().proxies, 400u);
+    EXPECT_EQ(std::count_if(all.begin(), all.end(), [](const auto& p) { return p->text.find("replace 1") != std::string::npos; }), 400);
+}
+
+TEST(Node, StartedOverWithAnOldListItServesWhatDiscoveryThenTells) {
+    NodeStage stage;
+    stage.start();
+    auto proxy = stage.proxy(1);
+    stage.run(500ms);
+    stage.discovery.put(row("s-a", "north", "Gone"));
+    stage.discovery.put(row("s-d", "north"));
+    stage.run(500ms);
+    stage.service.reset();
+    stage.run(100ms);
+    EXPECT_NE(proxy->ended, "");
+    // The configuration still holds the list as it was at the first start.
+    stage.start();
+    auto again = stage.proxy(1, "north", "0");
+    stage.run(2s);
+    EXPECT_NE(again->text.find("s-d:"), std::string::npos) << again->text;
+    EXPECT_EQ(stage.service->figures().servers, 4u) << "the one that is gone stays known";
+}
+
 // ---- discovery
 
 TEST(Node, FollowsDiscoveryWithoutAGap) {
--- a/tests/program/platform_stage.h
+++ b/tests/program/platform_stage.h
@@ -128,6 +128,7 @@
         send(bytes);
     }
     void close() { stream_->close(true); }
+    void stop_reading() { stream_->pause_reading(); }
     bool owed_nothing() const { return !ended.empty() || text.find("NACK") != std::string::npos; }
 
     std::string text, ended;
