--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -23,16 +23,21 @@
 
 // Tells each mistake and ends the command where there is any; `before` and `after` stand around their number.
 void end_where_wrong(const std::vector<config::Mistake>& mistakes, const std::string& before, const std::string& after = {});
+// A whole file, read in pieces: a buffer of the largest size, taken at once, was most of the memory that a small governor
+// may have. Throws std::runtime_error where it can't be opened or is larger than `most` bytes.
+std::string read_text(const std::string& path, std::size_t most = std::string::npos);
 // Ends the command where the file can't be written.
 void write_text(const std::string& path, const std::string& text);
 // --log of days and replays, and the level that it names.
 void add_log_option(CLI::App& command, std::string& level);
-log::Level log_level(const std::string& name);
+log::Level log_level(const std::string& name, log::Level unknown = log::Level::Info);
 
 config::GovernorConfig load_governor(const std::string& path);
 
-// Runs the loop until a signal to end comes; `on_signal` ends what runs in order, then the loop stops.
-void run_until_signal(net::Loop& loop, const std::function<void()>& on_signal);
+// Runs the loop until a signal to end comes; `on_signal` ends what runs in order, then the loop stops: after the pause in
+// which what is queued for the streams leaves. SIGHUP ends the process where `on_hangup` is not set.
+void run_until_signal(net::Loop& loop, const std::function<void()>& on_signal, const std::function<void()>& on_hangup = {},
+                      Micros pause = std::chrono::milliseconds(200));
 
 using Command = std::function<int()>;
 void add_governor(CLI::App& app, Command& chosen);
--- a/src/cli/common.cpp
+++ b/src/cli/common.cpp
@@ -14,6 +14,17 @@
     throw Failure(kBadSettings, before + std::to_string(mistakes.size()) + (mistakes.size() == 1 ? " mistake" : " mistakes") + after);
 }
 
+std::string read_text(const std::string& path, std::size_t most) {
+    std::ifstream in(path, std::ios::binary);
+    if (!in) throw std::runtime_error("can't be opened");
+    std::string text, piece(64 * 1024, '\0');
+    while (in.read(piece.data(), static_cast<std::streamsize>(piece.size())), in.gcount() > 0) {
+        text.append(piece, 0, static_cast<std::size_t>(in.gcount()));
+        if (text.size() > most) throw std::runtime_error("is larger than " + std::to_string(most) + " bytes");
+    }
+    return text;
+}
+
 void write_text(const std::string& path, const std::string& text) {
     std::ofstream out(path, std::ios::binary);
     out << text;
@@ -22,14 +33,17 @@
 
 namespace {
 const std::map<std::string, log::Level> kLevels{
-    {"off", log::Level::Off}, {"warning", log::Level::Warning}, {"info", log::Level::Info}, {"debug", log::Level::Debug}};
+    {"off", log::Level::Off}, {"warning", log::Level::Warning}, {"info", log::Level::Info}, {"debug", log::Level::Debug}, {"error", log::Level::Error}};
 }
 
 void add_log_option(CLI::App& command, std::string& level) {
     command.add_option("--log", level, "off, warning, info or debug")->check(CLI::IsMember({"off", "warning", "info", "debug"}))->capture_default_str();
 }
 
-log::Level log_level(const std::string& name) { return kLevels.at(name); }
+log::Level log_level(const std::string& name, log::Level unknown) {
+    const auto it = kLevels.find(name);
+    return it == kLevels.end() ? unknown : it->second;
+}
 
 config::GovernorConfig load_governor(const std::string& path) {
     std::vector<config::Mistake> mistakes;
@@ -44,15 +58,22 @@
     return config;
 }
 
-void run_until_signal(net::Loop& loop, const std::function<void()>& on_signal) {
+void run_until_signal(net::Loop& loop, const std::function<void()>& on_signal, const std::function<void()>& on_hangup, Micros pause) {
     asio::signal_set signals(loop.io(), SIGINT, SIGTERM);
+    if (on_hangup) signals.add(SIGHUP);
     base::Timer end(loop.clock(), base::ActorId{0});
-    signals.async_wait([&](const asio::error_code& wrong, int) {
-        if (wrong) return;
-        on_signal();
-        // What is queued for the streams leaves before the loop ends.
-        end.after(std::chrono::milliseconds(200), [&loop] { loop.stop(); });
-    });
+    const std::function<void()> wait = [&] {
+        signals.async_wait([&](const asio::error_code& wrong, int signal) {
+            if (wrong) return;
+            if (signal == SIGHUP) {
+                on_hangup();
+                return wait();
+            }
+            on_signal();
+            end.after(pause, [&loop] { loop.stop(); });
+        });
+    };
+    wait();
     loop.run();
 }
 
--- a/src/cli/governor.cpp
+++ b/src/cli/governor.cpp
@@ -1,6 +1,4 @@
 #include <cstdio>
-#include <fstream>
-#include <sstream>
 #include <utility>
 
 #include "base/real_clock.h"
@@ -45,20 +43,13 @@
     bool failed_ = false;
 };
 
-std::string text_of(const std::string& path) {
-    std::ifstream in(path, std::ios::binary);
-    std::ostringstream out;
-    out << in.rdbuf();
-    return out.str();
-}
-
 int run_governor(const std::string& path, const std::string& record) {
     const auto config = load_governor(path);
     net::Loop loop;
     log::Log log(loop.clock(), static_cast<log::Level>(config.log_level), config.log_json ? log::Form::Json : log::Form::Text);
     std::unique_ptr<GovernorRecording> recording;
     if (!record.empty()) try {
-        recording = std::make_unique<GovernorRecording>(loop.clock(), log, config, text_of(path), record);
+        recording = std::make_unique<GovernorRecording>(loop.clock(), log, config, read_text(path), record);
     } catch (const std::runtime_error& wrong) {
         throw Failure(kNoFile, wrong.what());
     }
--- a/src/drive/orders.cpp
+++ b/src/drive/orders.cpp
@@ -4,12 +4,6 @@
 
 namespace badgergrade::drive {
 
-namespace {
-// A rate at or above this lets everything in (the module's word for "all").
-constexpr double kAnyRate = 1e6;
-bool names_op(OpMask ops, OpId op) { return ops == 0 || (ops >> op.v & 1) != 0; }
-}  // namespace
-
 OrderBook::OrderBook(const Settings& told)
     : head_lines_(told.head_lines), all_let_in_(told.admit == Admit::Rate ? kAnyRate : 1), usual_again_(told.default_again) {
     for (int k = 0; k < static_cast<int>(told.operations.size()); ++k) {
@@ -71,7 +65,7 @@
             turn.levels_for_all = true;
         } else {
             tables_[a.table].levels[op] = level;
-            turn.changed[a.table].levels[op] = level;
+            turn.changed[a.table].levels.insert(op);
         }
     }
 }
--- a/src/drive/orders.h
+++ b/src/drive/orders.h
@@ -15,6 +15,11 @@
 
 namespace badgergrade::drive {
 
+// A rate at or above this lets everything in (the module's word for "all").
+constexpr double kAnyRate = 1e6;
+// Whether a mask of operations names this one; 0 names all.
+constexpr bool names_op(OpMask ops, OpId op) { return ops == 0 || (ops >> op.v & 1) != 0; }
+
 struct LevelSet {
     double let_in = 0;
     Again again = Again::AfterProof;
@@ -78,7 +83,7 @@
     // What this decision changed so far in a table.
     struct Changed {
         Lines lines;
-        Levels levels;
+        std::set<OpId> levels;
         bool cleared = false;
     };
     struct Turn {
--- a/src/governor/service.cpp
+++ b/src/governor/service.cpp
@@ -403,7 +403,7 @@
     ++figures_.orders;
     std::vector<std::string> refused;
     const Micros now = clock_.now();
-    auto messages = board_.order(now, actions, refused);
+    auto messages = board_.order(now, std::move(actions), refused);
     for (const auto& why : refused) log_.error("order.refused", {{"why", why}});
     double lines = 0;
     for (auto& message : messages) {
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -51,8 +51,8 @@
 constexpr int kMetWindow = 4;
 constexpr double kFewTries = 4, kBadPart = 0.4, kWorseBy = 3, kHurtPart = 0.05, kHurtMean = 0.5;
 constexpr char kUnheard = 0, kCalm = 1, kHurt = 2;
-// Past 1.1 of the mean one wrong verdict sent all to every server, hung ones too (on sockets, reload).
-constexpr double kSpreadAt = 1.2, kSpreadNoLevels = 1.4, kSpreadBlindAt = 1.4, kLoadedMean = 0.75;
+// Late where none is heard calm or levels are disregarded: past 1.1 one wrong verdict sent all to hung ones.
+constexpr double kSpreadAt = 1.2, kSpreadLateAt = 1.4, kLoadedMean = 0.75;
 constexpr double kAllBut = 0.9, kMostOut = 0.34, kMostDead = 0.5, kDeadPart = 0.98;
 constexpr double kSlowBy = 4, kMostSlow = 0.1;
 constexpr Micros kOutFirst = 6s, kOutMost = 24s, kTrialMost = 5s;
@@ -672,7 +672,7 @@
         }
         // Whether spreading a hurt zone's demand has somewhere to go, as far as this governor hears.
         const bool calm = std::count(hurt.begin(), hurt.end(), kCalm) > 0;
-        const double most = !calm ? kSpreadBlindAt : admit == Admit::None ? kSpreadNoLevels : kSpreadAt;
+        const double most = calm && admit != Admit::None ? kSpreadAt : kSpreadLateAt;
         if (next.full_because.empty() && worst_load(share, next.carried, true) > most)
             next.full_because = "a zone stays over the ceiling after all moves";
         if (!next.full_because.empty()) {
--- a/src/node/service.cpp
+++ b/src/node/service.cpp
@@ -1,6 +1,8 @@
 #include "node/service.h"
 
 #include <algorithm>
+#include <optional>
+#include <tuple>
 #include <utility>
 
 #include "base/real_clock.h"
@@ -25,7 +27,7 @@
 }  // namespace
 
 Service::Service(net::Loop& loop, base::ActorId actor, const platform::NodeConfig& config, log::Log& log, Micros wall_ahead)
-    : loop_(loop), clock_(loop.clock()), log_(log, config.name), config_(config), servers_(config_.names, wall_ahead),
+    : clock_(loop.clock()), log_(log, config.name), config_(config), servers_(config_.names, wall_ahead),
       orders_(config.settings), driver_(clock_, actor, config.settings, config.seed, config.batch),
       connections_most_(static_cast<std::size_t>(std::max(8, config.sockets - kOwnDescriptors))), strangers_timer_(clock_, actor),
       look_(clock_, actor), discovery_(loop, actor, config.name, config.discovery, config.known.generation, config.seed) {
@@ -127,7 +129,7 @@
     Connection connection = std::move(it->second);
     connections_.erase(it);
     strangers_.erase(id);
-    held_bytes_ -= std::min(held_bytes_, connection.reader.held());
+    held_bytes_ -= connection.reader.held();
     if (nack) {
         warn("connection.refused", {{"peer", connection.stream->peer()}, {"why", why}});
         std::string bytes;
@@ -160,45 +162,43 @@
         const auto it = connections_.find(id);
         if (it == connections_.end()) return;
         Connection& connection = it->second;
-        const std::size_t held_before = connection.reader.held();
+        held_bytes_ -= connection.reader.held();
         const auto message = connection.reader.next(bytes);
-        if (!message) return check_held(id, connection, held_before);
-        held_bytes_ -= std::min(held_bytes_, held_before);
+        held_bytes_ += connection.reader.held();
+        if (!message) return check_reader(id, connection.reader);
         handle(id, connection, *message);
     }
 }
 
-void Service::check_held(ConnectionId id, const Connection& connection, std::size_t held_before) {
-    held_bytes_ += connection.reader.held();
-    held_bytes_ -= std::min(held_bytes_, held_before);
-    if (!connection.reader.error().empty()) return refuse(id, "can't be read: " + connection.reader.error());
-    if (held_bytes_ > kHeldMost && connection.reader.held() > kStrangerBytes) refuse(id, "too many unfinished messages");
+void Service::check_reader(ConnectionId id, const resp::Reader& reader) {
+    if (!reader.error().empty()) return refuse(id, "can't be read: " + reader.error());
+    if (held_bytes_ > kHeldMost && reader.held() > kStrangerBytes) refuse(id, "too many unfinished messages");
 }
 
 void Service::handle(ConnectionId id, Connection& connection, const resp::Message& raw) {
-    platform::Message message;
     try {
-        message = platform::read_message(raw, config_.names, servers_);
+        const platform::Message message = platform::read_message(raw, config_.names, servers_);
+        if (std::holds_alternative<platform::Ping>(message)) return answer_ping(id, connection);
+        switch (connection.role) {
+            case Role::Stranger: return handle_stranger(id, connection, message);
+            case Role::Collector: return handle_collector(connection, message);
+            case Role::Proxy: return handle_proxy(connection, message);
+        }
     } catch (const platform::Spoilt& wrong) {
         ++figures_.spoilt;
         const std::string kind = raw.words.empty() ? "" : raw.words.front().substr(0, 20);
         if (connection.role == Role::Stranger) return refuse(id, kind + ": " + wrong.what());
-        return warn("message.spoilt", {{"peer", connection.stream->peer()}, {"kind", kind}, {"why", wrong.what()}});
-    }
-    if (std::holds_alternative<platform::Ping>(message)) {
-        std::string pong;
-        resp::write(pong, {"PONG"});
-        connection.stream->write(pong);
-        if (connection.stream->unsent() > kUnsentMost) end(id, "leaves its answers unread");
-        return;
-    }
-    switch (connection.role) {
-        case Role::Stranger: return handle_stranger(id, connection, message);
-        case Role::Collector: return handle_collector(connection, message);
-        case Role::Proxy: return handle_proxy(connection, message);
+        warn("message.spoilt", {{"peer", connection.stream->peer()}, {"kind", kind}, {"why", wrong.what()}});
     }
 }
 
+void Service::answer_ping(ConnectionId id, Connection& connection) {
+    std::string pong;
+    resp::write(pong, {"PONG"});
+    connection.stream->write(pong);
+    if (connection.stream->unsent() > kUnsentMost) end(id, "leaves its answers unread");
+}
+
 void Service::handle_stranger(ConnectionId id, Connection& connection, const platform::Message& message) {
     if (const auto* joined = std::get_if<ev::Joined>(&message)) return join(id, connection, *joined);
     const auto* source = std::get_if<platform::Source>(&message);
@@ -222,39 +222,31 @@
 }
 
 void Service::handle_proxy(Connection& connection, const platform::Message& message) {
-    const auto spoilt = [&](const char* why) {
-        ++figures_.spoilt;
-        warn("message.spoilt", {{"peer", connection.stream->peer()}, {"proxy", connection.proxy.v}, {"why", why}});
-    };
     if (const auto* applied = std::get_if<ev::Applied>(&message)) {
-        if (applied->proxy != connection.proxy) return spoilt("an ACK in another proxy's name");
-        if (connection.marks.erase(applied->mark) == 0) return spoilt("an ACK of a mark that was not written on this stream");
+        if (applied->proxy != connection.proxy) throw platform::Spoilt("an ACK in another proxy's name");
+        if (connection.marks.erase(applied->mark) == 0) throw platform::Spoilt("an ACK of a mark that was not written on this stream");
         ++figures_.applied;
         driver_.tell(*applied);
     } else if (const auto* demand = std::get_if<ev::Demand>(&message)) {
-        if (demand->proxy != connection.proxy) return spoilt("a RATE in another proxy's name");
+        if (demand->proxy != connection.proxy) throw platform::Spoilt("a RATE in another proxy's name");
         log_.debug("asked", {{"proxy", demand->proxy.v}, {"operation", demand->op.v}, {"tries", demand->count}, {"failed", demand->errored},
                              {"span_us", demand->span.count()}});
         driver_.tell(*demand);
     } else {
-        spoilt("a message that is not a proxy's");
+        throw platform::Spoilt("a message that is not a proxy's");
     }
 }
 
 void Service::handle_collector(Connection& connection, const platform::Message& message) {
-    const auto spoilt = [&](const char* why) {
-        ++figures_.spoilt;
-        warn("message.spoilt", {{"peer", connection.stream->peer()}, {"collector", connection.zone.v}, {"why", why}});
-    };
     if (const auto* heard = std::get_if<ev::Heard>(&message)) {
-        if (heard->zone != connection.zone) return spoilt("a LOAD of another zone");
+        if (heard->zone != connection.zone) throw platform::Spoilt("a LOAD of another zone");
         log_.debug("heard", {{"zone", heard->zone.v}, {"server", servers_.id(heard->server)}, {"number", heard->server.v}, {"tries", heard->tries},
                              {"failed", heard->errored}, {"mean_us", heard->mean.count()}, {"span_us", heard->span.count()}});
         driver_.tell(*heard);
     } else if (const auto* demand = std::get_if<ev::Demand>(&message)) {
         driver_.tell(*demand);
     } else {
-        spoilt("a message that is not a collector's");
+        throw platform::Spoilt("a message that is not a collector's");
     }
 }
 
@@ -276,23 +268,13 @@
     std::vector<std::string> refused;
     const std::vector<drive::Order> orders = orders_.take(actions, refused);
     for (const std::string& why : refused) warn("order.refused", {{"why", why}});
-    // Proxies with the same parts get the same bytes.
-    std::map<std::vector<const drive::TablePart*>, std::string> written;
+    // Proxies with the same order get the same bytes.
+    std::map<std::tuple<std::vector<drive::TablePartPtr>, std::vector<ServerId>, std::vector<ServerId>>, std::optional<std::string>> written;
     for (const drive::Order& order : orders) {
-        std::vector<const drive::TablePart*> same;
-        for (const auto& part : order.parts) same.push_back(part.get());
-        const bool own = !order.out.empty() || !order.back.empty();
-        std::string& bytes = written[same];
-        std::string alone;
-        if (own || bytes.empty()) {
-            const auto made = platform::to_config(order, config_.names, servers_);
-            if (!made) {
-                warn("order.refused", {{"why", "takes more parts than a message may have"}, {"proxy", order.proxy.v}});
-                continue;
-            }
-            (own ? alone : bytes) = *made;
-        }
-        send(order, own ? alone : bytes);
+        const auto [known, fresh] = written.try_emplace({order.parts, order.out, order.back});
+        if (fresh) known->second = platform::to_config(order, config_.names, servers_);
+        if (known->second) send(order, *known->second);
+        else warn("order.refused", {{"why", "takes more parts than a message may have"}, {"proxy", order.proxy.v}});
     }
 }
 
--- a/src/node/service.h
+++ b/src/node/service.h
@@ -57,6 +57,7 @@
     void make_room();
     void came(ConnectionId id, std::string_view bytes);
     void handle(ConnectionId id, Connection& connection, const resp::Message& message);
+    void answer_ping(ConnectionId id, Connection& connection);
     void handle_stranger(ConnectionId id, Connection& connection, const platform::Message& message);
     void handle_proxy(Connection& connection, const platform::Message& message);
     void handle_collector(Connection& connection, const platform::Message& message);
@@ -64,7 +65,7 @@
     void refuse(ConnectionId id, const std::string& why);
     void end(ConnectionId id, const std::string& why, bool nack = false);
     void forget_proxy(ConnectionId id, const Connection& connection);
-    void check_held(ConnectionId id, const Connection& connection, std::size_t held_before);
+    void check_reader(ConnectionId id, const resp::Reader& reader);
     void end_strangers();
     void look();
 
@@ -73,7 +74,6 @@
     void send(const drive::Order& order, const std::string& bytes);
     void warn(std::string_view event, std::initializer_list<log::Field> fields);
 
-    net::Loop& loop_;
     base::Clock& clock_;
     log::Voice log_;
     LineLimit limit_;
@@ -86,7 +86,7 @@
     std::set<ConnectionId> strangers_;
     std::map<ProxyId, ConnectionId> streams_;
     ConnectionId ids_ = 0;
-    std::size_t held_bytes_ = 0;
+    std::size_t held_bytes_ = 0;  // what all readers hold of unfinished messages
     base::Timer strangers_timer_, look_;
     DiscoveryWatch discovery_;
     std::unique_ptr<net::Listener> listener_;
--- a/src/platform/config.cpp
+++ b/src/platform/config.cpp
@@ -127,8 +127,6 @@
     if (json.contains("seed")) out.seed = seed_of(json["seed"]);
     if (const auto limits = json.find("limits"); limits != json.end()) {
         out.sockets = limits->value("sockets", out.sockets);
-        out.cores = limits->value("cores", out.cores);
-        out.memory_mb = limits->value("memory_mb", out.memory_mb);
         if (out.sockets < 16) throw Unreadable("limits.sockets is below 16");
     }
     const Json& settings = json.at("settings");
--- a/src/platform/config.h
+++ b/src/platform/config.h
@@ -45,7 +45,6 @@
     net::Address listen, discovery;
     std::uint64_t seed = 0;
     int sockets = 1024;
-    double cores = 1, memory_mb = 0;
     Micros batch{};
     Settings settings;
     Names names;
--- a/src/platform/orders_text.cpp
+++ b/src/platform/orders_text.cpp
@@ -1,8 +1,6 @@
 #include "platform/orders_text.h"
 
 #include <charconv>
-#include <cmath>
-#include <functional>
 
 #include "resp/resp.h"
 
--- a/src/resp/resp.cpp
+++ b/src/resp/resp.cpp
@@ -77,7 +77,7 @@
             if (static_cast<unsigned long long>(*number) + 2 > limits_.message_bytes - message_bytes_)
                 return fail("the message is too long: a string of " + std::to_string(*number) + " bytes");
             body_left_ = static_cast<std::size_t>(*number);
-            at_ = body_left_ > 0 ? At::Body : At::BodyEnd;
+            at_ = body_left_ > 0 ? At::Body : At::BodyCr;
             return true;
         case '*':
             now_.plain = false;
@@ -97,16 +97,15 @@
         body_.append(bytes.substr(0, part));
         bytes.remove_prefix(part);
         message_bytes_ += part, body_left_ -= part;
-        if (body_left_ == 0) at_ = At::BodyEnd;
+        if (body_left_ == 0) at_ = At::BodyCr;
         return true;
     }
     // CR and LF may come in two pieces.
-    const char want = head_.empty() ? '\r' : '\n';
-    if (bytes.front() != want) return fail("a string ends without CR LF");
+    const bool cr = at_ == At::BodyCr;
+    if (bytes.front() != (cr ? '\r' : '\n')) return fail("a string ends without CR LF");
     bytes.remove_prefix(1);
     ++message_bytes_;
-    if (want == '\r') return head_ = "\r", true;
-    head_.clear();
+    if (cr) return at_ = At::BodyLf, true;
     now_.words.push_back(std::exchange(body_, {}));
     at_ = At::Head;
     return true;
--- a/src/resp/resp.h
+++ b/src/resp/resp.h
@@ -37,7 +37,7 @@
     void set_limits(Limits limits) { limits_ = limits; }
 
 private:
-    enum class At { Head, Body, BodyEnd };
+    enum class At { Head, Body, BodyCr, BodyLf };
     bool take_head(std::string_view& bytes);
     bool take_body(std::string_view& bytes);
     bool read_head();
--- a/src/xds/board.cpp
+++ b/src/xds/board.cpp
@@ -21,12 +21,8 @@
 
 namespace {
 
-// A rate at or above this lets everything in (the module's word for "all").
-constexpr double kAnyRate = 1e6;
 constexpr std::uint32_t kMillion = 1000000;
 
-bool names(OpMask ops, std::size_t k) { return ops == 0 || (ops >> k & 1) != 0; }
-
 void by_ads(core::ConfigSource* source) {
     source->mutable_ads();
     source->set_resource_api_version(core::V3);
@@ -71,7 +67,7 @@
     book_.left(proxy);
 }
 
-std::vector<Message> Board::order(Micros now, const std::vector<Action>& actions, std::vector<std::string>& refused) {
+std::vector<Message> Board::order(Micros now, std::vector<Action> actions, std::vector<std::string>& refused) {
     ++orders_;
     made_.clear();
     const auto known = [&](ServerId server, const char* what) {
@@ -79,14 +75,13 @@
         refused.push_back(std::string(what) + " server " + std::to_string(server.v) + ", which no list named");
         return false;
     };
-    std::vector<Action> good;
-    for (const Action& action : actions) {
-        if (const auto* line = std::get_if<act::Line>(&action); line && !known(line->server, "a line for")) continue;
-        if (const auto* withdraw = std::get_if<act::Withdraw>(&action); withdraw && !known(withdraw->server, "a withdrawal of")) continue;
-        good.push_back(action);
-    }
+    std::erase_if(actions, [&](const Action& action) {
+        if (const auto* line = std::get_if<act::Line>(&action)) return !known(line->server, "a line for");
+        const auto* withdraw = std::get_if<act::Withdraw>(&action);
+        return withdraw && !known(withdraw->server, "a withdrawal of");
+    });
     std::vector<Message> out;
-    for (const drive::Order& order : book_.take(good, refused)) {
+    for (const drive::Order& order : book_.take(actions, refused)) {
         Message message;
         message.proxy = order.proxy, message.order = orders_, message.ordered = now, message.mark = order.mark;
         message.lines = order.lines;
@@ -230,7 +225,7 @@
     std::string key;
     for (std::size_t k = 0; k < operations_.size(); ++k)
         for (const auto& [ops, table] : book_.held_by(proxy)) {
-            if (!names(ops, k)) continue;
+            if (!drive::names_op(ops, {static_cast<int>(k)})) continue;
             const auto [let_in, again] = book_.level(table, {static_cast<int>(k)});
             key += std::to_string(table.v) + ":" + std::to_string(let_in) + ":" +
                    std::to_string(static_cast<int>(again)) + ";";
@@ -249,7 +244,7 @@
     host->add_domains("*");
     for (std::size_t k = 0; k < operations_.size(); ++k)
         for (const auto& [ops, table] : book_.held_by(proxy)) {
-            if (!names(ops, k)) continue;
+            if (!drive::names_op(ops, {static_cast<int>(k)})) continue;
             const Operation& op = operations_[k];
             const auto [let_in, again] = book_.level(table, {static_cast<int>(k)});
             auto* route = host->add_routes();
@@ -268,7 +263,7 @@
                     *retry->mutable_per_try_timeout() = TimeUtil::MicrosecondsToDuration(
                         static_cast<std::int64_t>(static_cast<double>(op.latency_objective.count()) * try_factor_));
             }
-            if (admit_ == Admit::Rate && let_in < kAnyRate) {
+            if (admit_ == Admit::Rate && let_in < drive::kAnyRate) {
                 limit::LocalRateLimit bucket;
                 bucket.set_stat_prefix(op.name);
                 // Filled ten times a second, so that a rate under one a second still lets single ones in.
--- a/src/xds/board.h
+++ b/src/xds/board.h
@@ -60,7 +60,7 @@
     // Carries out the table orders among `actions` (lines, clears, bindings, withdrawals, levels, mark) and gives
     // a message for each joined proxy concerned, in the order of their ids. Orders that name what is not known are
     // left out and told in `refused`.
-    std::vector<Message> order(Micros now, const std::vector<Action>& actions, std::vector<std::string>& refused);
+    std::vector<Message> order(Micros now, std::vector<Action> actions, std::vector<std::string>& refused);
 
     std::uint64_t orders() const { return orders_; }
 
--- a/tests/program/node_test.cpp
+++ b/tests/program/node_test.cpp
@@ -239,6 +239,19 @@
     EXPECT_EQ(stage.discovery.asked_from.back(), stage.discovery.generation());
 }
 
+TEST(Node, AWholeListRemovesWhatItDoesNotName) {
+    NodeStage stage;
+    stage.start();
+    auto proxy = stage.proxy(1);
+    stage.run(500ms);
+    stage.discovery.whole = true;
+    stage.discovery.put(row("s-d", "north"));
+    stage.run(500ms);
+    EXPECT_NE(proxy->text.find("s-a:0"), std::string::npos) << proxy->text;
+    EXPECT_NE(proxy->text.find("s-d:1"), std::string::npos) << proxy->text;
+    EXPECT_EQ(stage.logged("whole=yes rows=1 ready=1"), 1);
+}
+
 TEST(Node, ASilentDiscoveryIsNoticedAndWhatItThenSaysIsTaken) {
     NodeStage stage;
     stage.start();
@@ -295,8 +308,6 @@
 
 // ---- as a process
 
-std::string config_file(const std::string& name, const std::string& text) { return temporary(name, text); }
-
 std::int64_t memory_kb(pid_t process, const std::string& what) {
     std::ifstream in("/proc/" + std::to_string(process) + "/status");
     for (std::string word; in >> word;)
@@ -317,7 +328,7 @@
 };
 
 TEST(NodeProgram, AnUnreadableConfigurationIsOneLineAndExitTwo) {
-    for (const std::string& path : {config_file("node-bad.json", "{"), std::string("/nowhere/config.json"), std::string()}) {
+    for (const std::string& path : {temporary("node-bad.json", "{"), std::string("/nowhere/config.json"), std::string()}) {
         Process process(path);
         EXPECT_EQ(process.child->wait(), 2);
         EXPECT_EQ(std::count(process.child->text().begin(), process.child->text().end(), '\n'), 1) << process.child->text();
@@ -327,7 +338,7 @@
 TEST(NodeProgram, PlaysAShortDayAgainstStandInsReloadsAndEnds) {
     net::Loop loop;
     Discovery discovery(loop), second(loop);
-    const std::string path = config_file("node.json", node_config("127.0.0.1:0", net::to_text(discovery.address())));
+    const std::string path = temporary("node.json", node_config("127.0.0.1:0", net::to_text(discovery.address())));
     Process process(path);
     const std::string listen = process.child->after("node.started listen=");
     ASSERT_NE(listen, "") << process.child->text();
