Lines waiting in the channel are proven proxy by proxy, and lost with a broken stream

After 706 of 1006 streams broke, newer messages passed older ones. At fault: on(Applied) of src/logic.cpp took one answer as proof of all that was written before it to anyone.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -16,6 +16,7 @@
 #include <array>
 #include <bit>
 #include <cmath>
+#include <deque>
 #include <map>
 #include <numeric>
 #include <random>
@@ -28,11 +29,9 @@
 using namespace std::chrono_literals;
 
 // The design page's own figures.
-constexpr double kOverload = 0.2;
-constexpr Micros kRound = 5s;
+constexpr double kOverload = 0.2, kFreshPart = 0.25;
+constexpr Micros kRound = 5s, kAckWait = 2s;
 constexpr int kHoldRounds = 3;
-constexpr Micros kAckWait = 2s;
-constexpr double kFreshPart = 0.25;
 // A cold server may meet this many times its usual load per weight (retries, an overload, a burst at once).
 constexpr double kRushed = 2;
 // At this many tries an answer (or with levels lowered) cold servers wait outside until they are warm.
@@ -41,9 +40,8 @@
 // goes under the least, so that its recovery can be seen.
 constexpr double kJamPart = 0.2, kCalmPart = 0.08, kShedStep = 0.1, kShedGain = 0.4, kLateIsBad = 0.3;
 constexpr double kLateMean = 0.7, kBusy = 0.8, kManyCold = 0.3, kShedMost = 0.8, kLeastIn = 0.1;
-constexpr Micros kShedEvery = 1s;
+constexpr Micros kShedEvery = 1s, kBeat = 250ms;
 constexpr double kAnyRate = 1e6;
-constexpr Micros kBeat = 250ms;
 // Demand is averaged over eight of these, three reports: ten seconds were two servers late in a burst.
 constexpr Micros kDemandBucket = 800ms;
 // The verdict window spans a few reports, which come every one or two seconds.
@@ -62,7 +60,7 @@
 
 // No shelf is made narrower than the first, for warm connections, or the second, where they are refused.
 constexpr double kNarrow = 12, kNarrowest = 3;
-constexpr int kShelvesMost = 64;
+constexpr int kShelvesMost = 64, kSentMost = 64;
 
 double seconds(Micros t) { return static_cast<double>(t.count()) / 1e6; }
 
@@ -132,6 +130,7 @@
     std::map<OpMask, TableId> bound;
     int shelf = -1;
     Ring<Came, 16> messages;
+    std::deque<std::pair<int, double>> sent;  // lines by mark, until their answer comes
 };
 
 struct Dealt {
@@ -245,8 +244,7 @@
     bool full = false, beating = false, watching = false;
     int off_rounds = 0, calm_rounds = 0, rounds = 0, mark = 0;
     Micros rush_until{}, next_round{}, next_haste{}, next_shed{}, watch_at{}, drained_at{};
-    double waiting = 0, written = 0, planned_lines = 0;
-    std::map<int, double> before_mark;
+    double waiting = 0, unproven = 0;
     std::set<ProxyId> planned;
     std::vector<Action> out;
 
@@ -340,8 +338,8 @@
     void on(Micros now, const ev::Left& e) {
         const auto it = fleet.find(e.proxy);
         if (it == fleet.end()) return;
-        it->second.joined = false, it->second.left = now;
-        it->second.bound.clear();
+        it->second.joined = false, it->second.left = now, it->second.bound.clear();
+        left_channel(it->second, mark);
         for (auto& [id, table] : tables) table.unacked.erase(e.proxy);
     }
     void on(Micros now, const ev::Heard& e) {
@@ -368,14 +366,20 @@
         vacant.erase(e.slice);
     }
     void on(Micros, const ev::SliceLine& e) {
-        const auto it = tables.find(e.slice);
-        if (it != tables.end()) it->second.have[e.server] = e.weight;
+        if (const auto it = tables.find(e.slice); it != tables.end()) it->second.have[e.server] = e.weight;
     }
     void on(Micros, const ev::Applied& e) {
         for (auto& [id, table] : tables)
             if (((e.mark.v - table.mark) & 65535) < 32768) table.unacked.erase(e.proxy);
-        if (const auto it = before_mark.find(e.mark.v); it != before_mark.end())
-            waiting = std::min(waiting, written - it->second);
+        if (const auto it = fleet.find(e.proxy); it != fleet.end()) left_channel(it->second, e.mark.v);
+    }
+    // What a proxy applied has left the channel, and what waited for a stream that broke is lost with it. That
+    // says nothing of other proxies: after many broke, newer lines passed older ones (on sockets, herd).
+    void left_channel(Proxy& proxy, int upto) {
+        auto& sent = proxy.sent;
+        for (; !sent.empty() && ((upto - sent.front().first) & 65535) < 32768; sent.pop_front())
+            unproven -= sent.front().second;
+        waiting = std::min(waiting, unproven);
     }
 
     double rate_of(Micros now, const Proxy& proxy) const {
@@ -432,9 +436,9 @@
         return it != standings.end() && it->second.phase == Phase::Out;
     }
 
-    bool out_of_any(ServerId id) const {
-        bool out = false;
-        for (ZoneId z{0}; z.v < zones; ++z.v) out |= is_out(z, id);
+    int zones_without(ServerId id) const {
+        int out = 0;
+        for (ZoneId z{0}; z.v < zones; ++z.v) out += is_out(z, id);
         return out;
     }
 
@@ -686,9 +690,7 @@
         for (int z = 0; z <= 2 * zones; ++z) tables[{z}].want.clear();
         for (const Share& s : ready) {
             const Server& server = servers[s.server];
-            int out_in = 0;
-            for (int z = 0; z < zones; ++z) out_in += is_out({z}, s.server);
-            if (const double part = eased(now, server, rush); part > 0 && out_in * 2 < zones)
+            if (const double part = eased(now, server, rush); part > 0 && zones_without(s.server) * 2 < zones)
                 tables[full_table()].want[s.server] = server.weight * part;
             else if (part <= 0) continue;
             if (const auto it = placed.find(s.server); it != placed.end() && !is_out(it->second, s.server))
@@ -745,8 +747,7 @@
         for (int j = 0; j < 2 * kShelvesMost; ++j)
             if (const auto it = tables.find(shelf_table(z, j / 2, j % 2)); it != tables.end())
                 it->second.want.clear();
-        d.load.assign(static_cast<std::size_t>(d.shelves), 0.0);
-        d.bears = d.load;
+        d.load.assign(static_cast<std::size_t>(d.shelves), 0.0), d.bears = d.load;
         for (const bool own : {false, true}) {
             if (d.shelves < 2 || (own && !own_ops)) continue;
             const Table& from = tables[own ? own_table(z) : zone_table(z)];
@@ -808,9 +809,8 @@
     }
 
     bool may_write(Micros now, const Proxy& proxy, bool must) const {
-        if (messages_most <= 0) return true;
-        const double sent = proxy.messages.sum(now, messages_bucket).count;
-        return sent + 1 <= (must ? messages_most - 1 : messages_most * kMessagesPart);
+        const double most = must ? messages_most - 1 : messages_most * kMessagesPart;
+        return messages_most <= 0 || proxy.messages.sum(now, messages_bucket).count + 1 <= most;
     }
     std::map<TableId, std::vector<ProxyId>> users_of_tables() const {
         std::map<TableId, std::vector<ProxyId>> users;
@@ -825,8 +825,7 @@
     // bindings, and the rest. All that is ordered at one time is one message a proxy.
     void emit(Micros now) {
         waiting = std::max(0.0, waiting - seconds(now - drained_at) * rate * kSurePace);
-        drained_at = now;
-        planned.clear(), planned_lines = 0;
+        drained_at = now, planned.clear();
         auto users = users_of_tables();
         for (auto& [id, table] : tables) emit_table(now, id, table, users[id], true);
         for (auto& [id, proxy] : fleet) emit_binding(now, id, proxy);
@@ -834,11 +833,8 @@
         for (auto& [id, table] : tables) emit_table(now, id, table, users[id], false);
         if (planned.empty()) return;
         mark = next_mark();
-        if (before_mark.size() > 64) before_mark.clear();
-        before_mark[mark] = written;
         out.push_back(act::Mark{{mark}, false});
         for (const ProxyId id : planned) fleet[id].messages.at(now, messages_bucket).count += 1;
-        waiting += planned_lines, written += planned_lines;
     }
     int next_mark() const { return (mark + 1) % 65536; }
 
@@ -850,12 +846,16 @@
             if (!may_write(now, fleet.at(user), must)) return 0;
             heads += head + 1;
         }
-        const double left =
-            lines_most * (must ? kMustGoPart : kCanWaitPart) - waiting - planned_lines - heads;
+        const double left = lines_most * (must ? kMustGoPart : kCanWaitPart) - waiting - heads;
         return static_cast<std::size_t>(std::max(0.0, left / static_cast<double>(users.size())));
     }
     void plan(const std::vector<ProxyId>& users, double lines) {
-        for (const ProxyId u : users) planned_lines += lines + (planned.insert(u).second ? head + 1 : 0);
+        for (const ProxyId user : users) {
+            auto& sent = fleet[user].sent;
+            sent.emplace_back(next_mark(), lines + (planned.insert(user).second ? head + 1 : 0));
+            waiting += sent.back().second, unproven += sent.back().second;
+            if (std::ssize(sent) > kSentMost) sent[1].second += sent[0].second, sent.pop_front();
+        }
     }
 
     // A table's difference, the most urgent first, and last what moved away, so that a part of it leaves the
@@ -867,7 +867,7 @@
         for (const auto& [server, weight] : table.have) {
             if (table.want.contains(server)) stays = true;
             else if (!listed_ready(server)) lost.push_back(act::Line{id, server, 0});
-            else (out_of_any(server) ? added : moved).push_back(act::Line{id, server, 0}), soon = true;
+            else (zones_without(server) > 0 ? added : moved).push_back(act::Line{id, server, 0}), soon = true;
         }
         for (const auto& [server, weight] : table.want) {
             const auto it = table.have.find(server);
@@ -931,8 +931,8 @@
             cost += 1 + tables[table].have.size() + tables[table].level_have.size();
         if (room_for(now, {id}, proxy.bound.empty()) < cost) return;
         for (const auto& [ops, table] : wanted) {
-            const auto it = proxy.bound.find(ops);
-            if (it == proxy.bound.end() || it->second != table) out.push_back(act::Bind{table, ops, id});
+            if (const auto it = proxy.bound.find(ops); it == proxy.bound.end() || it->second != table)
+                out.push_back(act::Bind{table, ops, id});
         }
         proxy.bound = wanted;
         plan({id}, static_cast<double>(cost));
