No refusal for the governor's own slowness; watch, reload and end lose nothing in rare moments

Signals are held from the first line. - collectors of a zone were kept without bound (4 now, the longest silent goes); of unanswered marks the smallest was forgotten, after the numbers came round the newest, and its answer was called spoilt. Ruled out by tests: different marks for proxies with the same bytes; growth while all servers and streams are renewed; 64 classes, 65 give a clear answer.

--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -34,10 +34,8 @@
 
 config::GovernorConfig load_governor(const std::string& path);
 
-// Runs the loop until a signal to end comes; `on_signal` ends what runs in order, then the loop stops: after the pause in
-// which what is queued for the streams leaves. SIGHUP ends the process where `on_hangup` is not set.
-void run_until_signal(net::Loop& loop, const std::function<void()>& on_signal, const std::function<void()>& on_hangup = {},
-                      Micros pause = std::chrono::milliseconds(200));
+// Runs the loop until a signal to end comes; `on_end` ends what runs in order, then what is queued has a moment to leave.
+void run_until_signal(net::Loop& loop, const std::function<void()>& on_end);
 
 using Command = std::function<int()>;
 void add_governor(CLI::App& app, Command& chosen);
--- a/src/cli/common.cpp
+++ b/src/cli/common.cpp
@@ -1,10 +1,9 @@
-#include <asio/signal_set.hpp>
-#include <csignal>
 #include <cstdio>
 #include <fstream>
 #include <map>
 
 #include "cli/cli.h"
+#include "net/signals.h"
 
 namespace badgergrade::cli {
 
@@ -58,23 +57,8 @@
     return config;
 }
 
-void run_until_signal(net::Loop& loop, const std::function<void()>& on_signal, const std::function<void()>& on_hangup, Micros pause) {
-    asio::signal_set signals(loop.io(), SIGINT, SIGTERM);
-    if (on_hangup) signals.add(SIGHUP);
-    base::Timer end(loop.clock(), base::ActorId{0});
-    const std::function<void()> wait = [&] {
-        signals.async_wait([&](const asio::error_code& wrong, int signal) {
-            if (wrong) return;
-            if (signal == SIGHUP) {
-                on_hangup();
-                return wait();
-            }
-            on_signal();
-            end.after(pause, [&loop] { loop.stop(); });
-        });
-    };
-    wait();
-    loop.run();
+void run_until_signal(net::Loop& loop, const std::function<void()>& on_end) {
+    net::Signals(loop, net::Signals::Hangup::Ends).run(on_end, std::chrono::milliseconds(200));
 }
 
 }  // namespace badgergrade::cli
--- a/src/cli/node.cpp
+++ b/src/cli/node.cpp
@@ -3,6 +3,8 @@
 
 #include "base/real_clock.h"
 #include "cli/cli.h"
+#include "net/signals.h"
+#include "node/config_reload.h"
 #include "node/service.h"
 
 namespace badgergrade::cli {
@@ -34,29 +36,22 @@
     }
 }
 
-// A file that can't be read is told, and the configuration before stays.
-void reload(node::Service& service, log::Log& log, const std::string& name, const std::string& path) {
-    try {
-        service.reload(load(path));
-    } catch (const std::runtime_error& wrong) {
-        log::Voice(log, name).error("config.refused", {{"file", path}, {"why", wrong.what()}, {"kept", "the one before"}});
-    }
-}
-
 int run_node() {
+    net::Loop loop;
+    net::Signals signals(loop, net::Signals::Hangup::Reloads);
     const std::string path = variable("NODE_CONFIG");
     const platform::NodeConfig config = at_start(path);
-    net::Loop loop;
     log::Log log(loop.clock(), log_level(variable("NODE_LOG")), log::Form::Text);
     const Micros wall_ahead = base::wall_now() - loop.clock().now();
-    std::unique_ptr<node::Service> service;
     try {
-        service = std::make_unique<node::Service>(loop, base::ActorId{1}, config, log, wall_ahead);
-    } catch (const std::system_error& wrong) {
-        throw Failure(kCannotListen, "can't listen on " + net::to_text(config.listen) + ": " + wrong.code().message());
+        node::Service service(loop, base::ActorId{1}, config, log, wall_ahead);
+        node::ConfigReload reload(loop.clock(), base::ActorId{1}, log::Voice(log, config.name), [&] { return load(path); },
+                                  [&](const platform::NodeConfig& fresh) { service.reload(fresh); });
+        // Proxies go elsewhere from SIGTERM on: nothing that is queued for them is worth a pause.
+        signals.run([&] { reload.stop(), service.stop(); }, Micros{0}, [&] { reload.begin(); });
+    } catch (const node::CannotListen& wrong) {
+        throw Failure(kCannotListen, wrong.what());
     }
-    // Proxies go elsewhere from SIGTERM on: nothing that is queued for them is worth a pause.
-    run_until_signal(loop, [&] { service->stop(); }, [&] { reload(*service, log, config.name, path); }, Micros{0});
     log.flush();
     return kGood;
 }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -105,24 +105,15 @@
     for (auto& [id, link] : links_) link->stream->close(true);
 }
 
-HttpPool::TryId HttpPool::send(HttpMessage request, Micros timeout, Done done) {
+HttpPool::TryId HttpPool::send(HttpMessage request, Micros timeout, Done done, Micros silence) {
     const TryId id = ++ids_;
     auto fresh = std::make_unique<Try>();
     fresh->request = std::move(request), fresh->done = std::move(done);
     fresh->limit = base::Timer(loop_.clock(), actor_);
     Try& now = *fresh;
     tries_[id] = std::move(fresh);
-    now.limit.after(timeout, [this, id] {
-        const auto it = tries_.find(id);
-        if (it == tries_.end()) return;
-        HttpOutcome outcome;
-        outcome.how = it->second->written ? HttpOutcome::How::TimedOut : HttpOutcome::How::NeverSent;
-        outcome.why = "timed out";
-        outcome.fresh_connection = it->second->fresh;
-        const std::uint64_t link = it->second->link;
-        end(id, std::move(outcome));
-        if (link) link_over(link, "given up");
-    });
+    now.silence = silence, now.due = loop_.clock().now() + timeout;
+    now.limit.at(now.due, [this, id] { overdue(id); });
     for (auto& [link_id, link] : links_)
         if (!link->now && !link->dead) {
             on_link(id, link_id);
@@ -140,6 +131,25 @@
     return id;
 }
 
+void HttpPool::overdue(TryId id) {
+    // What came while this process had no processor lies unread: that is not the peer's silence.
+    if (const auto it = tries_.find(id); it != tries_.end() && it->second->link) {
+        const StreamPtr stream = links_.at(it->second->link)->stream;
+        stream->take_unread();
+    }
+    const auto it = tries_.find(id);
+    if (it == tries_.end()) return;
+    Try& now = *it->second;
+    if (now.due > loop_.clock().now()) return now.limit.at(now.due, [this, id] { overdue(id); });
+    HttpOutcome outcome;
+    outcome.how = now.written ? HttpOutcome::How::TimedOut : HttpOutcome::How::NeverSent;
+    outcome.why = "timed out";
+    outcome.fresh_connection = now.fresh;
+    const std::uint64_t link = now.link;
+    end(id, std::move(outcome));
+    if (link) link_over(link, "given up");
+}
+
 void HttpPool::add_link(TryId id, StreamPtr stream) {
     const auto it = tries_.find(id);
     if (it == tries_.end()) return stream->close(true);
@@ -156,6 +166,8 @@
         const auto at = links_.find(link_id);
         if (at == links_.end()) return;
         Link& here = *at->second;
+        if (const auto now = tries_.find(here.now); now != tries_.end() && now->second->silence > Micros{0})
+            now->second->due = std::max(now->second->due, loop_.clock().now() + now->second->silence);
         here.feeding = true;
         const bool good = here.parser->feed(bytes);
         here.feeding = false;
@@ -235,6 +247,12 @@
     if (done) done(std::move(outcome));
 }
 
+void HttpPool::take_unread() {
+    std::vector<StreamPtr> streams;
+    for (const auto& [id, link] : links_) streams.push_back(link->stream);
+    for (const StreamPtr& stream : streams) stream->take_unread();
+}
+
 void HttpPool::retire() {
     retired_ = true;
     std::vector<std::uint64_t> idle;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -95,11 +95,14 @@
 
     using Done = std::function<void(HttpOutcome)>;
     using TryId = std::uint64_t;
-    // `timeout` counts from now; `done` is called once, never from within send().
-    TryId send(HttpMessage request, Micros timeout, Done done);
+    // `timeout` counts from now; `done` is called once, never from within send(). Where `silence` is given, an answer
+    // that has begun may take longer, as long as no pause in it is longer than that.
+    TryId send(HttpMessage request, Micros timeout, Done done, Micros silence = Micros{0});
     // Gives a try up: its connection is closed, `done` is not called.
     void cancel(TryId id);
     std::size_t connections() const { return links_.size(); }
+    // Reads what has come on all connections, without waiting for their turn.
+    void take_unread();
     // Closes what is idle and every other connection when its try is over.
     void retire();
 
@@ -111,6 +114,7 @@
         std::unique_ptr<Dial> dial;
         std::uint64_t link = 0;
         bool written = false, fresh = false;
+        Micros silence{}, due{};
     };
     struct Link {
         StreamPtr stream;
@@ -119,6 +123,7 @@
         TryId now = 0;
         bool feeding = false, dead = false;
     };
+    void overdue(TryId id);
     void on_link(TryId id, std::uint64_t link);
     void add_link(TryId id, StreamPtr stream);
     void answered(std::uint64_t link, HttpMessage response);
--- a/src/net/network.cpp
+++ b/src/net/network.cpp
@@ -146,6 +146,15 @@
 }
 
 void Stream::read_ready() {
+    if (read_waiting()) wait_read();
+}
+
+void Stream::take_unread() {
+    const auto self = shared_from_this();
+    if (open_ && !paused_ && !ended_) read_waiting();
+}
+
+bool Stream::read_waiting() {
     // In real time one busy peer must not keep the others waiting; in virtual time all is read before any
     // of it is handled.
     for (int turns = 0; loop_.is_virtual() || turns < 16; ++turns) {
@@ -153,7 +162,10 @@
         auto& buffer = read_buffer();
         const std::size_t got = socket_.read_some(asio::buffer(buffer), wrong);
         if (wrong == asio::error::would_block) break;
-        if (wrong) return ended(wrong == asio::error::eof ? "closed by the other side" : wrong.message());
+        if (wrong) {
+            ended(wrong == asio::error::eof ? "closed by the other side" : wrong.message());
+            return false;
+        }
         if (pair_) loop_.ledger().read(pair_, side_, got);
         if (loop_.is_virtual() && pair_) {
             inbox_.append(buffer.data(), got);
@@ -168,9 +180,14 @@
             const std::string came(buffer.data(), got);
             on_data(came);
         }
-        if (!open_ || paused_) return;
+        if (!open_ || paused_) return false;
     }
-    wait_read();
+    return true;
+}
+
+void Stream::discard_unread() {
+    asio::error_code wrong;
+    for (int turns = 0; turns < 16 && !wrong; ++turns) socket_.read_some(asio::buffer(read_buffer()), wrong);
 }
 
 void Stream::ended(std::string reason) {
@@ -183,7 +200,7 @@
 }
 
 void Stream::send(std::string bytes) {
-    if (!open_ || closing_ || bytes.empty()) return;
+    if (!open_ || closing_ || finishing_ || bytes.empty()) return;
     unsent_ += bytes.size();
     if (loop_.weather) {
         const std::string far = far_host();
@@ -201,7 +218,7 @@
 }
 
 void Stream::write(std::string_view bytes) {
-    const bool direct = open_ && !closing_ && !loop_.weather && pair_ == 0 && queue_.empty() && !writing_;
+    const bool direct = open_ && !closing_ && !finishing_ && !loop_.weather && pair_ == 0 && queue_.empty() && !writing_;
     if (direct && !bytes.empty()) {
         asio::error_code wrong;
         const std::size_t took = socket_.write_some(asio::buffer(bytes.data(), bytes.size()), wrong);
@@ -224,6 +241,8 @@
         release_.at(cut ? now + kCutLook : held_.front().due, [this] { release_held(); });
     } else if (closing_ && queue_.empty()) {
         finish();
+    } else if (finishing_ && queue_.empty()) {
+        shut_sending();
     }
 }
 
@@ -245,7 +264,7 @@
             if (pair_) loop_.ledger().saw_end(pair_, side_);
             asio::post(loop_.io(), [self = shared_from_this(), why = wrong.message()] { self->ended(why); });
             queue_.clear();
-            offset_ = 0;
+            offset_ = unsent_ = 0;
             return;
         }
         unsent_ -= took, offset_ += took;
@@ -254,6 +273,7 @@
         queue_.pop_front();
     }
     if (closing_ && held_.empty()) return finish();
+    if (finishing_ && held_.empty()) return shut_sending();
     if (on_drained && unsent_ == 0) on_drained();
 }
 
@@ -276,12 +296,23 @@
     start();
 }
 
+void Stream::finish_sending() {
+    if (!open_ || closing_ || std::exchange(finishing_, true)) return;
+    if (queue_.empty() && held_.empty()) shut_sending();
+}
+
+void Stream::shut_sending() {
+    asio::error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 void Stream::close(bool abort) {
     if (!open_) return;
     on_data = {}, on_end = {}, on_drained = {};
     if (abort) {
         asio::error_code ignored;
         socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+        aborted_ = true;
         return finish();
     }
     if (std::exchange(closing_, true)) return;
@@ -297,6 +328,7 @@
     queue_.clear(), held_.clear();
     unsent_ = 0;
     asio::error_code ignored;
+    if (!ended_ && !aborted_) discard_unread();
     if (!ended_) socket_.shutdown(tcp::socket::shutdown_both, ignored);
     socket_.close(ignored);
     if (pair_) loop_.ledger().closed(std::exchange(pair_, 0), side_);
--- a/src/net/network.h
+++ b/src/net/network.h
@@ -97,6 +97,12 @@
     std::size_t unsent() const { return unsent_; }
     void pause_reading();
     void resume_reading();
+    // Reads what the kernel holds by now, without waiting for this stream's turn: for whoever is about to give a peer up
+    // for its silence, and may itself have been the one that was late.
+    void take_unread();
+    // Half-close: sends what is queued, then the end; what the other side still sends is read on. A close while input
+    // waits unread is a reset, which may cost the other side the last bytes it was sent.
+    void finish_sending();
     // Sends what is queued, then ends. With `abort`, queued bytes are dropped and the other side sees a reset.
     void close(bool abort = false);
     bool open() const { return open_; }
@@ -109,6 +115,10 @@
     };
     void wait_read();
     void read_ready();
+    // False where the stream is over or paused.
+    bool read_waiting();
+    void discard_unread();
+    void shut_sending();
     void wait_write();
     void push();
     void release_held();
@@ -131,6 +141,7 @@
     std::string inbox_;
     bool inbox_due_ = false;
     bool open_ = true, reading_ = false, paused_ = false, writing_ = false, ended_ = false, closing_ = false;
+    bool finishing_ = false, aborted_ = false;
 };
 
 using StreamPtr = std::shared_ptr<Stream>;
--- a/src/node/discovery_watch.cpp
+++ b/src/node/discovery_watch.cpp
@@ -12,6 +12,8 @@
 // wait keeps a silent connection from being noticed after that: 2 s and the time-out are over, and another call is
 // answered, before the 6 s are.
 constexpr Micros kHold = 2s, kSlack = 400ms, kConnect = 400ms, kIdle = 60s;
+// An answer that has begun may come in pieces, however long it is: only a pause in it ends the call.
+constexpr Micros kPause = 1s;
 constexpr Micros kRetryFirst = 30ms, kRetryMost = 500ms;
 }  // namespace
 
@@ -30,6 +32,7 @@
 }
 
 void DiscoveryWatch::move(const net::Address& to) {
+    pool_->take_unread();
     stop();
     at_ = to;
     pool_ = pool_to(to);
@@ -41,12 +44,13 @@
     again_.stop();
     net::HttpMessage request;
     request.method = "GET";
-    request.target = "/discovery/hosts?from=" + std::to_string(generation_) + "&hold_ms=" + std::to_string(kHold / 1ms);
+    request.target = "/discovery/hosts";
+    if (!ask_whole_) request.target += "?from=" + std::to_string(generation_) + "&hold_ms=" + std::to_string(kHold / 1ms);
     // TCP alone never shows a peer that fell silent.
     now_ = pool_->send(std::move(request), kHold + kSlack, [this](net::HttpOutcome outcome) {
         now_ = 0;
         came(std::move(outcome));
-    });
+    }, kPause);
 }
 
 void DiscoveryWatch::later(const std::string& why) {
@@ -64,10 +68,21 @@
     } catch (const platform::Unreadable& wrong) {
         return later(std::string("the answer can't be read: ") + wrong.what());
     }
-    failures_ = 0;
+    if (list.whole && list.instances.empty() && list.unreadable.empty() && knows_servers && knows_servers())
+        return later("a whole list without instances; the one before stays");
+    // Changes that lead to an older state than ours are not changes to ours (a discovery that was renewed).
+    if (!list.whole && list.generation < generation_) {
+        ask_whole_ = true;
+        return later("changes to generation " + std::to_string(list.generation) + " after " + std::to_string(generation_) + "; the whole list is asked for");
+    }
+    failures_ = 0, ask_whole_ = false;
     generation_ = list.generation;
     // The next call is due within 200 ms of this answer, before anything is made of it.
     poll();
+    take(list);
+}
+
+void DiscoveryWatch::take(const platform::InstanceList& list) {
     for (const std::string& why : list.left_out)
         if (on_trouble) on_trouble("an entry can't be read: " + why);
     if ((list.whole || !list.instances.empty()) && on_list) on_list(list);
--- a/src/node/discovery_watch.h
+++ b/src/node/discovery_watch.h
@@ -20,10 +20,13 @@
     // A list, or changes to the one before; called only where there is news.
     std::function<void(const platform::InstanceList&)> on_list;
     std::function<void(const std::string& why)> on_trouble;
+    // Whether any server is known: then a whole list without one is nonsense.
+    std::function<bool()> knows_servers;
 
     void start() { poll(); }
     void stop();
-    // Goes on at another address, from the same generation; what the old one still had to say is asked there.
+    // Goes on at another address, from the same generation: what had come from the old one is taken, what was still on
+    // its way is asked for at the new one.
     void move(const net::Address& to);
     const net::Address& at() const { return at_; }
     std::uint64_t generation() const { return generation_; }
@@ -32,6 +35,7 @@
     void poll();
     void came(net::HttpOutcome outcome);
     void later(const std::string& why);
+    void take(const platform::InstanceList& list);
     std::unique_ptr<net::HttpPool> pool_to(const net::Address& to);
 
     net::Loop& loop_;
@@ -44,6 +48,7 @@
     net::HttpPool::TryId now_ = 0;
     base::Timer again_;
     int failures_ = 0;
+    bool ask_whole_ = false;
 };
 
 }  // namespace badgergrade::node
--- a/src/node/service.cpp
+++ b/src/node/service.cpp
@@ -1,6 +1,7 @@
 #include "node/service.h"
 
 #include <algorithm>
+#include <asio/error.hpp>
 #include <optional>
 #include <tuple>
 #include <utility>
@@ -19,6 +20,12 @@
 constexpr int kOwnDescriptors = 20;
 // Whoever has not joined by then is closed; what it may send until then is small.
 constexpr Micros kJoinWithin = 1200ms, kStrangersLook = 100ms;
+// A peer that was told NACK has this long to end its side, so that no input of its own turns our close into a reset.
+constexpr Micros kLeaveWithin = 500ms;
+// Each zone has one collector. The ends of older ones may not have been seen: the one silent longest goes.
+constexpr std::size_t kCollectorsMost = 4;
+// An address that the life before still holds is asked for again.
+constexpr Micros kListenFor = 10s, kListenAgain = 50ms;
 constexpr std::size_t kStrangerBytes = 16 * 1024;
 // Unfinished messages of all connections together, and what a peer may leave unread.
 constexpr std::size_t kHeldMost = 4 * 1024 * 1024, kUnsentMost = 512 * 1024;
@@ -30,23 +37,38 @@
     : clock_(loop.clock()), log_(log, config.name), config_(config), servers_(config_.names, wall_ahead),
       orders_(config.settings), driver_(clock_, actor, config.settings, config.seed, config.batch),
       connections_most_(static_cast<std::size_t>(std::max(8, config.sockets - kOwnDescriptors))), strangers_timer_(clock_, actor),
-      look_(clock_, actor), discovery_(loop, actor, config.name, config.discovery, config.known.generation, config.seed) {
+      look_(clock_, actor), listen_again_(clock_, actor), listen_until_(clock_.now() + kListenFor), discovery_(loop, actor, config.name, config.discovery, config.known.generation, config.seed) {
     driver_.on_actions = [this](std::vector<Action> actions) { carry_out(actions); };
     discovery_.on_list = [this](const platform::InstanceList& list) { on_list(list, list.whole ? ListForm::Full : ListForm::Delta); };
     discovery_.on_trouble = [this](const std::string& why) { warn("discovery.trouble", {{"at", net::to_text(discovery_.at())}, {"why", why}}); };
+    discovery_.knows_servers = [this] { return servers_.any(); };
     // The list as it was last held comes before anything else.
     on_list(config_.known, ListForm::Cached);
     config_.known = {};
-    listener_ = std::make_unique<net::Listener>(loop, actor, config.name, config.listen, [this](net::StreamPtr stream) { accept(std::move(stream)); });
-    listener_->on_trouble([this](std::string why) { warn("accept.failed", {{"why", why}, {"connections", connections_.size()}}); });
+    make_listener_ = [this, &loop, actor] {
+        return std::make_unique<net::Listener>(loop, actor, config_.name, config_.listen, [this](net::StreamPtr stream) { accept(std::move(stream)); });
+    };
+    listen();
     discovery_.start();
     end_strangers();
     look();
+}
+
+void Service::listen() {
+    try {
+        listener_ = make_listener_();
+    } catch (const std::system_error& wrong) {
+        if (wrong.code() != asio::error::address_in_use || clock_.now() >= listen_until_)
+            throw CannotListen("can't listen on " + net::to_text(config_.listen) + ": " + wrong.code().message());
+        warn("listen.again", {{"listen", net::to_text(config_.listen)}, {"why", wrong.code().message()}});
+        return listen_again_.after(kListenAgain, [this] { listen(); });
+    }
+    listener_->on_trouble([this](std::string why) { warn("accept.failed", {{"why", why}, {"connections", connections_.size()}}); });
     log_.info("node.started", {{"listen", net::to_text(address())},
-                               {"discovery", net::to_text(config.discovery)},
+                               {"discovery", net::to_text(config_.discovery)},
                                {"connections_most", connections_most_},
-                               {"zones", config.names.zones.size()},
-                               {"proxies", config.names.proxies},
+                               {"zones", config_.names.zones.size()},
+                               {"proxies", config_.names.proxies},
                                {"servers", servers_.size()}});
 }
 
@@ -55,15 +77,17 @@
 void Service::stop() {
     if (std::exchange(stopping_, true)) return;
     log_.info("node.stopping", {{"proxies", streams_.size()}, {"connections", connections_.size()}});
-    listener_->close();
+    if (listener_) listener_->close();
     discovery_.stop();
     driver_.stop();
-    strangers_timer_.stop(), look_.stop();
-    for (auto& [id, connection] : connections_) connection.stream->close(true);
-    connections_.clear(), strangers_.clear(), streams_.clear();
+    strangers_timer_.stop(), look_.stop(), listen_again_.stop();
+    // What the kernel has taken still reaches its peer; what has not left here never will.
+    for (auto& [id, connection] : connections_) connection.stream->close(connection.stream->unsent() > 0);
+    connections_.clear(), strangers_.clear(), leaving_.clear(), collectors_.clear(), streams_.clear();
 }
 
 void Service::reload(const platform::NodeConfig& config) {
+    if (stopping_) return;
     const bool moved = config.discovery != discovery_.at();
     log_.info("config.reloaded", {{"discovery", net::to_text(config.discovery)}, {"moved", moved}, {"generation", discovery_.generation()}});
     if (config.listen != config_.listen || config.name != config_.name || config.sockets != config_.sockets)
@@ -105,43 +129,71 @@
 
 // Whoever only holds a place loses it to a newcomer, the oldest first: a proxy that wants to join always finds one.
 void Service::make_room() {
-    while (connections_.size() >= connections_most_ && !strangers_.empty()) refuse(*strangers_.begin(), "its place is wanted");
+    while (connections_.size() >= connections_most_) {
+        if (!leaving_.empty()) end(leaving_.front(), "its place is wanted");
+        else if (strangers_.empty()) return;
+        else if (const ConnectionId oldest = *strangers_.begin(); still_silent(oldest)) refuse(oldest, "its place is wanted");
+    }
+}
+
+// Whether a stranger has not said who it is. What it said may lie unread since this governor was busy with others, for as
+// long as a whole time-out where hundreds dial at once on part of a core: that is not the peer's lateness.
+bool Service::still_silent(ConnectionId id) {
+    const net::StreamPtr stream = connections_.at(id).stream;
+    stream->take_unread();
+    return strangers_.contains(id);
 }
 
 void Service::end_strangers() {
     strangers_timer_.after(kStrangersLook, [this] { end_strangers(); });
+    end_leaving();
     const Micros now = clock_.now();
     while (!strangers_.empty()) {
         const ConnectionId oldest = *strangers_.begin();
         if (now - connections_.at(oldest).since < kJoinWithin) return;
-        refuse(oldest, "did not join in time");
+        if (still_silent(oldest)) refuse(oldest, "did not join in time");
     }
 }
 
+void Service::end_leaving() {
+    while (!leaving_.empty() && clock_.now() - connections_.at(leaving_.front()).since >= kLeaveWithin) end(leaving_.front(), "was refused");
+}
+
 void Service::refuse(ConnectionId id, const std::string& why) {
+    const auto it = connections_.find(id);
+    if (it == connections_.end()) return;
     ++figures_.refused;
-    end(id, why, true);
+    Connection& connection = it->second;
+    warn("connection.refused", {{"peer", connection.stream->peer()}, {"why", why}});
+    give_up(id, connection, why);
+    connection.role = Role::Leaving, connection.since = clock_.now(), connection.reader = resp::Reader();
+    leaving_.push_back(id);
+    std::string bytes;
+    resp::write(bytes, {"NACK", "why", why.substr(0, 200)});
+    connection.stream->write(bytes);
+    connection.stream->finish_sending();
 }
 
-void Service::end(ConnectionId id, const std::string& why, bool nack) {
+void Service::end(ConnectionId id, const std::string& why) {
     const auto it = connections_.find(id);
     if (it == connections_.end()) return;
     Connection connection = std::move(it->second);
     connections_.erase(it);
+    if (connection.role == Role::Leaving) std::erase(leaving_, id);
+    else give_up(id, connection, why);
+    connection.stream->close(connection.stream->unsent() > 0);
+}
+
+// Nothing of what this connection stood for is left.
+void Service::give_up(ConnectionId id, const Connection& connection, const std::string& why) {
     strangers_.erase(id);
     held_bytes_ -= connection.reader.held();
-    if (nack) {
-        warn("connection.refused", {{"peer", connection.stream->peer()}, {"why", why}});
-        std::string bytes;
-        resp::write(bytes, {"NACK", "why", why.substr(0, 200)});
-        connection.stream->write(bytes);
-    }
-    connection.stream->close(connection.stream->unsent() > 0);
     if (connection.role == Role::Proxy) {
         log_.info("proxy.left", {{"proxy", connection.proxy.v}, {"why", why}, {"unanswered", connection.marks.size()}});
         forget_proxy(id, connection);
     } else if (connection.role == Role::Collector) {
         log_.info("collector.left", {{"zone", config_.names.zones[static_cast<std::size_t>(connection.zone.v)]}, {"why", why}});
+        collectors_[connection.zone].erase(id);
     }
 }
 
@@ -160,7 +212,7 @@
 void Service::came(ConnectionId id, std::string_view bytes) {
     for (;;) {
         const auto it = connections_.find(id);
-        if (it == connections_.end()) return;
+        if (it == connections_.end() || it->second.role == Role::Leaving) return;
         Connection& connection = it->second;
         held_bytes_ -= connection.reader.held();
         const auto message = connection.reader.next(bytes);
@@ -183,6 +235,7 @@
             case Role::Stranger: return handle_stranger(id, connection, message);
             case Role::Collector: return handle_collector(connection, message);
             case Role::Proxy: return handle_proxy(connection, message);
+            case Role::Leaving: return;
         }
     } catch (const platform::Spoilt& wrong) {
         ++figures_.spoilt;
@@ -203,10 +256,18 @@
     if (const auto* joined = std::get_if<ev::Joined>(&message)) return join(id, connection, *joined);
     const auto* source = std::get_if<platform::Source>(&message);
     if (!source) return refuse(id, "a report or an answer before joining");
-    connection.role = Role::Collector, connection.zone = source->zone;
-    connection.reader.set_limits({});
+    add_collector(id, connection, source->zone);
+}
+
+void Service::add_collector(ConnectionId id, Connection& connection, ZoneId zone) {
     strangers_.erase(id);
-    log_.info("collector.joined", {{"zone", config_.names.zones[static_cast<std::size_t>(source->zone.v)]}, {"peer", connection.stream->peer()}});
+    connection.role = Role::Collector, connection.zone = zone, connection.since = clock_.now();
+    connection.reader.set_limits({});
+    log_.info("collector.joined", {{"zone", config_.names.zones[static_cast<std::size_t>(zone.v)]}, {"peer", connection.stream->peer()}});
+    std::set<ConnectionId>& all = collectors_[zone];
+    const auto longest_silent = [&](ConnectionId a, ConnectionId b) { return connections_.at(a).since < connections_.at(b).since; };
+    if (all.size() >= kCollectorsMost) end(*std::min_element(all.begin(), all.end(), longest_silent), "newer collectors of this zone report");
+    all.insert(id);
 }
 
 void Service::join(ConnectionId id, Connection& connection, const ev::Joined& joined) {
@@ -224,7 +285,9 @@
 void Service::handle_proxy(Connection& connection, const platform::Message& message) {
     if (const auto* applied = std::get_if<ev::Applied>(&message)) {
         if (applied->proxy != connection.proxy) throw platform::Spoilt("an ACK in another proxy's name");
-        if (connection.marks.erase(applied->mark) == 0) throw platform::Spoilt("an ACK of a mark that was not written on this stream");
+        const OpenMarks::Answer answer = connection.marks.answered(applied->mark);
+        if (answer == OpenMarks::Answer::Unknown) throw platform::Spoilt("an ACK of a mark that was not written on this stream");
+        if (answer == OpenMarks::Answer::Late) return;
         ++figures_.applied;
         driver_.tell(*applied);
     } else if (const auto* demand = std::get_if<ev::Demand>(&message)) {
@@ -238,6 +301,7 @@
 }
 
 void Service::handle_collector(Connection& connection, const platform::Message& message) {
+    connection.since = clock_.now();
     if (const auto* heard = std::get_if<ev::Heard>(&message)) {
         if (heard->zone != connection.zone) throw platform::Spoilt("a LOAD of another zone");
         log_.debug("heard", {{"zone", heard->zone.v}, {"server", servers_.id(heard->server)}, {"number", heard->server.v}, {"tries", heard->tries},
@@ -283,9 +347,7 @@
     if (stands == streams_.end()) return;
     const ConnectionId id = stands->second;
     Connection& connection = connections_.at(id);
-    if (order.mark) connection.marks.insert(*order.mark);
-    // A proxy that answers none of them is owed no memory of all.
-    if (connection.marks.size() > 256) connection.marks.erase(connection.marks.begin());
+    if (order.mark) connection.marks.written(*order.mark);
     ++figures_.orders;
     connection.stream->write(bytes);
     if (connection.stream->unsent() > kUnsentMost) end(id, "leaves its orders unread");
--- a/src/platform/config.cpp
+++ b/src/platform/config.cpp
@@ -95,13 +95,18 @@
     const Json& rows = json.at("instances");
     if (!rows.is_array()) throw Unreadable("instances is no list");
     if (rows.size() > kInstancesMost) throw Unreadable("a list names more than 65535 instances");
+    const auto leave_out = [&](const Json& row, const char* why) {
+        out.left_out.emplace_back(why);
+        if (const Json* id = row.is_object() && row.contains("instanceId") ? &row["instanceId"] : nullptr; id && id->is_string())
+            out.unreadable.push_back(id->get<std::string>());
+    };
     for (const Json& row : rows) {
         try {
             out.instances.push_back(instance_of(row));
         } catch (const Json::exception& wrong) {
-            out.left_out.emplace_back(wrong.what());
+            leave_out(row, wrong.what());
         } catch (const Unreadable& wrong) {
-            out.left_out.emplace_back(wrong.what());
+            leave_out(row, wrong.what());
         }
     }
     return out;
--- a/src/platform/config.h
+++ b/src/platform/config.h
@@ -37,7 +37,8 @@
     std::uint64_t generation = 0;
     bool whole = false;
     std::vector<Instance> instances;
-    std::vector<std::string> left_out;  // entries that can't be read, each with its reason
+    std::vector<std::string> left_out;    // entries that can't be read, each with its reason
+    std::vector<std::string> unreadable{};  // ids of those that have one: not named as gone by a whole list
 };
 
 struct NodeConfig {
--- a/src/platform/servers.cpp
+++ b/src/platform/servers.cpp
@@ -27,30 +27,48 @@
 ev::List Servers::take(const InstanceList& list, ListForm form, Micros now) {
     ev::List out{form, {}};
     if (form != ListForm::Delta)
-        for (auto& [id, known] : by_id_)
-            if (!std::exchange(known.gone, true)) known.gone_since = now;
+        for (auto& [id, known] : by_id_) {
+            if (known.gone) known.row.state = ServerState::Gone;
+            else known.gone = true, known.gone_since = now;
+        }
     for (const Instance& instance : list.instances) {
         auto it = by_id_.find(instance.id);
         if (it == by_id_.end()) {
             // What was never there and is gone already needs no number.
             if (instance.state == ServerState::Gone) continue;
-            it = by_id_.emplace(instance.id, Known{new_number()}).first;
-            ids_[it->second.server] = instance.id;
+            it = by_id_.emplace(instance.id, Known{{new_number(), {}, {}, 1, {}}, false, {}}).first;
+            ids_[it->second.row.server] = instance.id;
         }
         Known& known = it->second;
         const bool gone = instance.state == ServerState::Gone;
         if (gone && !known.gone) known.gone_since = now;
         known.gone = gone;
         const auto zone = std::find(names_.zones.begin(), names_.zones.end(), instance.zone);
-        out.rows.push_back({known.server, {zone == names_.zones.end() ? -1 : static_cast<int>(zone - names_.zones.begin())},
-                            instance.state, instance.weight, start_of(instance.started_ms)});
+        known.row = {known.row.server, {zone == names_.zones.end() ? -1 : static_cast<int>(zone - names_.zones.begin())},
+                     instance.state, instance.weight, start_of(instance.started_ms)};
+        out.rows.push_back(known.row);
     }
+    if (form != ListForm::Delta) keep_unreadable(list, out);
     return out;
 }
 
+// Whose entry can't be read is named all the same: a whole list does not say that it is gone.
+void Servers::keep_unreadable(const InstanceList& list, ev::List& out) {
+    for (const std::string& id : list.unreadable) {
+        const auto it = by_id_.find(id);
+        if (it == by_id_.end() || !it->second.gone || it->second.row.state == ServerState::Gone) continue;
+        it->second.gone = false;
+        out.rows.push_back(it->second.row);
+    }
+}
+
+bool Servers::any() const {
+    return std::any_of(by_id_.begin(), by_id_.end(), [](const auto& one) { return !one.second.gone; });
+}
+
 std::optional<ServerId> Servers::number(std::string_view id) const {
     const auto it = by_id_.find(id);
-    return it == by_id_.end() ? std::nullopt : std::optional(it->second.server);
+    return it == by_id_.end() ? std::nullopt : std::optional(it->second.row.server);
 }
 
 const std::string& Servers::id(ServerId server) const {
@@ -62,12 +80,12 @@
 void Servers::forget(Micros now, const std::function<bool(ServerId)>& named) {
     for (auto it = by_id_.begin(); it != by_id_.end();) {
         const Known& known = it->second;
-        if (!known.gone || now - known.gone_since < kRemembered || named(known.server)) {
+        if (!known.gone || now - known.gone_since < kRemembered || named(known.row.server)) {
             ++it;
             continue;
         }
-        free_.insert(known.server);
-        ids_.erase(known.server);
+        free_.insert(known.row.server);
+        ids_.erase(known.row.server);
         it = by_id_.erase(it);
     }
 }
--- a/src/platform/servers.h
+++ b/src/platform/servers.h
@@ -25,6 +25,8 @@
     // Empty where there is none.
     const std::string& id(ServerId server) const;
     std::size_t size() const { return by_id_.size(); }
+    // Whether any of them is not gone.
+    bool any() const;
 
     // Numbers of servers that were gone for a while, and that `named` denies, are free for others: a day that replaces
     // all its servers must not grow.
@@ -32,11 +34,12 @@
 
 private:
     struct Known {
-        ServerId server;
+        ServerRow row;  // as the module was told last
         bool gone = false;
         Micros gone_since{};
     };
     ServerId new_number();
+    void keep_unreadable(const InstanceList& list, ev::List& out);
     Micros start_of(double started_ms) const;
 
     const Names& names_;
