--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -240,7 +240,7 @@
     std::map<ServerId, ZoneId> placed;
     std::string full_because;
     bool full = false, beating = false, watching = false;
-    int off_rounds = 0, calm_rounds = 0, rounds = 0, mark = 0, broke = 0;
+    int off_rounds = 0, calm_rounds = 0, rounds = 0, mark = 0, broke = 0, proven = 0;
     Micros rush_until{}, next_round{}, next_haste{}, next_shed{}, watch_at{}, drained_at{};
     double waiting = 0, unproven = 0, lost = 0, overtaken = 0;
     std::set<ProxyId> planned;
@@ -310,8 +310,7 @@
         if (!server.missing) server.state = ServerState::Gone;
     }
     // Where only a stated drain binds, a server that merely vanished stays while it goes on answering: a list
-    // that turns back named four fifths of a live fleet gone (cnx-labels-later big-1). One that died shows
-    // errors, or nothing at all, in what the proxies met last.
+    // that turns back named four fifths of a live fleet gone (cnx-labels-later big-1). Dead ones show errors.
     void follow_missing(Micros now) {
         for (auto& [id, server] : servers) {
             if (!server.missing) continue;
@@ -365,9 +364,12 @@
     }
     void on(Micros, const ev::Applied& e) {
         if (const auto it = fleet.find(e.proxy); it != fleet.end()) left_channel(it->second, e.mark.v, true);
+        if (lost > 0 || !after(e.mark.v, proven)) return;
+        proven = e.mark.v;
+        for (auto& [id, proxy] : fleet) left_channel(proxy, proven - 1, true);
     }
-    // What a proxy applied has left the channel, and what waited for a stream that broke is lost with it. By
-    // as much as was lost newer lines pass older ones, and count as waiting while those do (sockets, herd).
+    // What a proxy applied has left the channel, and all before it; what waits for a broken stream is lost.
+    // As many newer lines may pass older ones, and count as waiting while those do (on sockets, herd).
     void left_channel(Proxy& proxy, int upto, bool applied) {
         for (; owes(proxy, upto); proxy.sent.pop_front()) {
             const auto [at, lines] = proxy.sent.front();
@@ -456,9 +458,8 @@
         return all > 0 ? cold / all : 0;
     }
 
-    // Hung, failing and crawling servers differ from an overload of all: the middle one of the zone is the
-    // measure, and at most half of a zone may be out unless nearly all of it is dead while other zones
-    // answer.
+    // Hung, failing, crawling servers differ from an overload of all: the zone's middle one is the measure,
+    // and at most half of a zone may be out, unless nearly all of it is dead while other zones answer.
     void judge(Micros now) {
         Met everywhere;
         for (auto& [key, standing] : standings)
@@ -859,8 +860,7 @@
     }
 
     // A table's difference, the most urgent first, and last what moved away, so that a part of it leaves the
-    // table whole. Only as much goes as the channel bears: sent whole or not at all, a removal waited with
-    // additions past the grace for drains (bkk-render-later, incident i918870, many gone at once).
+    // table whole. Sent whole or not at all, a removal waited past the grace (bkk-render-later, i918870).
     std::vector<Action> due_lines(TableId id, const Table& table, std::size_t& urgent, bool& soon) const {
         std::vector<Action> lost, added, moved;
         bool stays = false;
