A lone zone's jam is not spread while many servers are cold

There the servers are cold, six in ten replaced at once: every zone jams, and each one's jam met in the others' cold servers. Ruled out: the channel (rules and most_backlog as before).

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -671,9 +671,9 @@
             share = fresh, off_rounds = 0, next_haste = now + kAckWait;
             next = allot(asked(now, ready), ready, placed);
         }
-        // One that hears a single zone sees no idle one beside its jam (on sockets, calm).
-        if (next.full_because.empty() && std::count(hurt.begin(), hurt.end(), kUnheard) == zones - 1 &&
-            asks > told * (1 + kOverload) && *std::max_element(pressure.begin(), pressure.end()) > kJamPart)
+        // One that hears a single zone sees no idle one beside its jam (calm on sockets). Cold ones jam all.
+        if (next.full_because.empty() && cold_part(now) <= kManyCold / 2 && asks > told * (1 + kOverload) &&
+            std::ranges::count(hurt, kUnheard) == zones - 1 && std::ranges::max(pressure) > kJamPart)
             next.full_because = "a zone jams, and no other is heard";
         // Whether spreading a hurt zone's demand has somewhere to go, as far as this governor hears.
         const bool calm = std::count(hurt.begin(), hurt.end(), kCalm) > 0;
