Case 3: after a takeover in one zone first tables come too late for the drains

Cause: removals go to forwarders that have a table, each step of a release again and to all of them, before those that have just come get a first table; the last of these are served in the order of their numbers, with whole tables.

--- a/review/standins/fleet.h
+++ b/review/standins/fleet.h
@@ -109,6 +109,7 @@
     double rate = 1;                 // requests a second
     int fd = -1;
     double joined = -1;
+    bool fresh = true;               // holds no table that was ordered
     std::string unread;              // bytes that do not form a message yet
     std::vector<std::vector<std::string>> parts;  // of the message that is arriving
     std::map<int, Table> tables;     // by class
@@ -148,6 +149,11 @@
     /// `plan` is called when all proxies have joined, with the time.
     std::function<void(double)> plan;
     bool trouble() const { return trouble_; }
+    /// Proxies from this number on belong to other governors at first. They hold a table of all servers and send, but
+    /// are not judged, until come_over().
+    int first_foreign_proxy = 1 << 30;
+    /// They dial this governor, each within so many ms.
+    void come_over(double from_ms, double to_ms);
 
     // Changes of the truth and of discovery's list. `list` brings all of them to discovery as one new generation.
     Server& server(const std::string& id) { return servers_.at(id); }
--- a/review/standins/main.cpp
+++ b/review/standins/main.cpp
@@ -1,5 +1,5 @@
 // Plays one case: platform CASE. The environment holds RUN (the deploy file's command), RECORD (the file to write)
-// and TROUBLE (0: the same without the disruption). Exit code: 0 the rule held, 1 it was broken, 2 not run.
+// and TROUBLE (0: the same without the disruption); GOVERNOR_LOG may name a file for its log. Exit code: 0 the rule held, 1 it was broken, 2 not run.
 #include <cstdlib>
 #include <iostream>
 #include <string>
@@ -16,6 +16,9 @@
     if (name == "lone-cold-server") {
         return standin::play_lone_cold_server(trouble);
     }
-    std::cerr << "usage: platform one-by-one|lone-cold-server\n";
+    if (name == "takeover") {
+        return standin::play_takeover(trouble);
+    }
+    std::cerr << "usage: platform one-by-one|lone-cold-server|takeover\n";
     return 2;
 }
