--- a/review/standins/fleet.h
+++ b/review/standins/fleet.h
@@ -61,6 +61,8 @@
     int outlier_after = 5;
     double avoid_ms = 4000;
     int standing = 10;
+    bool dropped_stay_open = false;
+    bool reports_load = false;  // util and queue, in answers
     std::string admit = "none";     // or share, rate
     std::string lb_method = "two";  // or weighted
 };
@@ -97,6 +99,9 @@
     };
     std::deque<Push> pushed;
     std::int64_t received = 0;
+    double work_s = 0;  // taken in since its load was refreshed, in seconds of its full work
+    double util = 0;    // as refreshed last
+    double queue = 0;
 };
 
 struct Table {
@@ -220,6 +225,7 @@
     void try_server(Proxy& proxy, int kind, const std::string& id, double work_ms, bool last);
     void check_send(Proxy& proxy, int kind, Server& server, double work_s);
     double cold_capacity(const Server& server, double when) const;
+    void refresh_loads();
     void gather_reports();
     void send_reports();
 
@@ -253,6 +259,7 @@
     double channel_lines_ = 0;
     bool channel_moving_ = false;
     double channel_peak_ = 0;
+    double latest_timer_ms_ = 0;  // how late this process itself was
     std::map<std::pair<int, std::string>, Sums> met_;       // by zone and server
     std::map<std::pair<int, int>, Sums> asked_;             // by proxy and class
     struct Line {
--- a/review/standins/one_by_one.cpp
+++ b/review/standins/one_by_one.cpp
@@ -33,7 +33,7 @@
                        {"queue-job", 0.28, 245, 1200, 3000, 3, "unsafe", false}};
     figures.channel_rate = kLinesPerSecond;
     figures.per_message = 6;
-    figures.pending_max = 2 * kLinesPerSecond;  // what it sends in 2 s
+    figures.pending_max = 16000;  // the first tables of all forwarders (74 lines each) fit twice; 2 s of the channel are 3,500
     figures.transit_ms = kTransitMs;
     figures.push_delay_max_ms = 620;
     figures.intake_per_s = 60;
@@ -45,6 +45,8 @@
     figures.period_ms = 500;
     figures.outlier_after = 0;
     figures.standing = 6;
+    figures.dropped_stay_open = true;
+    figures.reports_load = true;
     figures.admit = "rate";
     figures.lb_method = "weighted";
     std::vector<Server> servers;
