--- a/review/standins/lone_cold_server.cpp
+++ b/review/standins/lone_cold_server.cpp
@@ -8,9 +8,9 @@
 constexpr double kCalmMs = 15000;
 constexpr double kLostMs = 12000;
 constexpr double kGoneListedMs = 2000;     // notice_s: 1.6 to 4.8 s
-constexpr double kFirstListedMs = 400;     // add_s: 0.34 to 2.4 s
-constexpr double kOthersListedMs = 2300;
-constexpr double kLengthMs = 42000;
+constexpr double kFirstListedMs = 450;    // add_s: 0.34 to 2.4 s
+constexpr double kOthersListedMs = 1700;  // period_ms 300 to 980 and spread_ms 21 to 330 later
+constexpr double kLengthMs = 34000;
 
 std::string name_of(int zone, int number) {
     return std::string("s-") + static_cast<char>('a' + zone) + std::to_string(number);
