--- a/review/standins/takeover.cpp
+++ b/review/standins/takeover.cpp
@@ -1,15 +1,16 @@
-// A release, and two of three governors killed at once: their forwarders come to the third, in a deployment of one zone.
+// A release, and three of five governors killed at once: half of their forwarders come to one of the others. One zone.
 #include "cases.h"
 #include "fleet.h"
 
 namespace standin {
 namespace {
 
-constexpr int kServers = 100;
-constexpr int kForwarders = 400;
-constexpr int kOwnForwarders = 134;
-constexpr double kCalmMs = 12000;
-constexpr double kLengthMs = 45000;
+// Five governors steer 2,400 forwarders; three are killed, and half of their 1,440 come to this one.
+constexpr int kServers = 200;
+constexpr int kForwarders = 1200;
+constexpr int kOwnForwarders = 480;
+constexpr double kCalmMs = 10000;
+constexpr double kLengthMs = 28000;
 
 std::string name_of(int number) {
     return std::string("s-") + (number < 10 ? "0" : "") + std::to_string(number);
@@ -22,7 +23,7 @@
     int count;
 };
 
-constexpr Step kSteps[] = {{9000, 0, 15}, {10700, 15, 15}, {12300, 30, 15}, {14100, 45, 5}};
+constexpr Step kSteps[] = {{9000, 0, 30}, {10700, 30, 30}, {12300, 60, 30}, {14100, 90, 10}};
 constexpr double kKilledMs = 10000;
 
 }  // namespace
@@ -31,17 +32,17 @@
     Figures figures;
     figures.zones = {"bang-na"};
     figures.zone_demand = {1};
-    figures.requests_per_s = 700;
+    figures.requests_per_s = 1200;
     figures.proxies_per_zone = kForwarders;
     figures.classes = {{"preview", 0.54, 155, 800, 2000, 1, "safe", false},
                        {"print-file", 0.33, 395, 2000, 5000, 1, "safe", false},
                        {"place-job", 0.13, 260, 1200, 4000, 3, "unsafe", false}};
-    figures.channel_rate = 2230;
+    figures.channel_rate = 13000;
     figures.per_message = 3;
-    figures.pending_max = 11200;
+    figures.pending_max = 33600;
     figures.transit_ms = 150;
-    figures.push_delay_max_ms = 500;
-    figures.grace_ms = 6400;
+    figures.push_delay_max_ms = 920;
+    figures.grace_ms = 3000;
     std::vector<Server> servers;
     for (int k = 0; k < kServers; ++k) {
         servers.push_back({.id = name_of(k), .zone = 0, .weight = 1.0, .capacity = 3000});
@@ -54,7 +55,7 @@
         }
         const double start = begin + kCalmMs - 9000;
         platform.at(start + kKilledMs, [&platform] {
-            platform.note("two of three governors are killed: their forwarders come to this one");
+            platform.note("three of five governors are killed: half of their forwarders come to this one");
             platform.come_over(590, 2300);
         });
         for (const Step& step : kSteps) {
