The first servers of an empty table don't wait for channel room

Cause: lines for an empty table were like any other change that can wait, and so was the change of a proxy from an empty table to another one. After a series of drains both had used up their share of the proxy's messages (40%), and waited for the window to pass.

The two new tests fail without the change (PublisherTest.TheFirstServersOfAnEmptyTableAreUrgent, ProxiesWithAnEmptyTableAreAssignedAnotherOneFirst).

Change: the first servers of an empty table are urgent lines; a proxy that is moved from an empty table to one with servers has the priority of a first assignment.

--- a/src/policy/publisher.cpp
+++ b/src/policy/publisher.cpp
@@ -74,8 +74,11 @@
     }
     add_changed_limits(id, table, added);
     difference.urgent_count = urgent.size();
-    // A table that keeps none of its published servers gets new ones before it is emptied.
-    if (!urgent.empty() && !keeps_any_server) {
+    // A table that keeps none of its published servers gets new ones before it is emptied. Users of
+    // an empty one have no server.
+    const bool fills_empty_table =
+        table.published_weights.empty() && !table.desired_weights.empty();
+    if (fills_empty_table || (!urgent.empty() && !keeps_any_server)) {
         difference.urgent_count += added.size();
     }
     if (!keeps_any_server) {
@@ -238,9 +241,9 @@
            });
 }
 
-std::vector<InterimTables::Assignment> Publisher::pending_first_assignments(
+std::vector<Publisher::Assignment> Publisher::pending_first_assignments(
     bool full_table_mode) const {
-    std::vector<InterimTables::Assignment> pending;
+    std::vector<Assignment> pending;
     for (const auto& [id, proxy] : fleet_.proxies) {
         if (proxy.connected && proxy.assigned_tables.empty()) {
             pending.push_back(desired_tables(proxy, fleet_, full_table_mode, subsetting_));
@@ -249,12 +252,31 @@
     return pending;
 }
 
-// A proxy without tables from this instance may hold draining servers; one that changes its tables
-// can wait.
+bool Publisher::is_empty(TableId table) const {
+    const auto found = fleet_.tables.find(table);
+    return found == fleet_.tables.end() || found->second.published_weights.empty();
+}
+
+bool Publisher::lacks_servers(const Proxy& proxy) const {
+    return proxy.assigned_tables.empty() ||
+           std::ranges::any_of(proxy.assigned_tables,
+                               [this](const auto& assigned) { return is_empty(assigned.second); });
+}
+
+bool Publisher::gains_servers(const Proxy& proxy, const Assignment& desired) const {
+    return std::ranges::any_of(desired, [&](const auto& entry) {
+        const auto assigned = proxy.assigned_tables.find(entry.first);
+        const bool lacks = assigned == proxy.assigned_tables.end() || is_empty(assigned->second);
+        return lacks && !is_empty(entry.second);
+    });
+}
+
+// A proxy without tables from this instance may hold draining servers, and one whose table is empty
+// has no server; others that change their tables can wait.
 void Publisher::publish_assignments(Micros now, bool full_table_mode, Priority priority) {
     const bool first = priority == Priority::FirstAssignment;
     for (auto& [id, proxy] : fleet_.proxies) {
-        if (proxy.connected && proxy.assigned_tables.empty() == first) {
+        if (proxy.connected && (first ? lacks_servers(proxy) : !proxy.assigned_tables.empty())) {
             publish_assignment(now, id, proxy, full_table_mode, priority);
         }
     }
@@ -266,7 +288,11 @@
     if (desired == proxy.assigned_tables) {
         return;
     }
-    if (priority == Priority::FirstAssignment) {
+    const bool is_first = proxy.assigned_tables.empty();
+    if (priority == Priority::FirstAssignment && !is_first && !gains_servers(proxy, desired)) {
+        return;
+    }
+    if (is_first) {
         desired = interim_tables_.first_assignment(proxy, desired);
     }
     std::size_t line_count = 0;
@@ -284,7 +310,7 @@
         }
     }
     proxy.assigned_tables = desired;
-    if (priority == Priority::FirstAssignment) {
+    if (is_first) {
         interim_tables_.on_assigned(proxy);
     }
     budget_.reserve(fleet_.proxies, {id}, static_cast<double>(line_count));
--- a/src/policy/publisher.h
+++ b/src/policy/publisher.h
@@ -10,8 +10,9 @@
 //   2. new servers, raised weights, ejections, and admission limits;
 //   3. servers that are ready but now belong to another table.
 // Where the table keeps none of its published servers, 2 comes before 1. The budget may cut this
-// order at any point: the table stays usable. Removals are sent at once; other changes are merged
-// until the users of the table have acknowledged its last change, or for kAckTimeout.
+// order at any point: the table stays usable. Removals and the first servers of an empty table are
+// sent at once; other changes are merged until the users of the table have acknowledged its last
+// change, or for kAckTimeout.
 //
 // Tables of one batch, in order: tables without users, so that a later assignment finds them
 // complete; urgent lines of tables in use; first assignments; changed assignments; all other lines.
@@ -29,7 +30,8 @@
 // time.
 //
 // A proxy that connects gets its first assignment with FirstAssignment priority as soon as the
-// budget allows for all lines of its tables. Until then it is sent nothing and uses the
+// budget allows for all lines of its tables; so does one that is moved from an empty table to one
+// with servers. Until then it is sent nothing and uses the
 // configuration that it holds. If complete tables for all such proxies would occupy the channel for
 // too long, they first get interim tables (interim_tables.h).
 //
@@ -56,8 +58,8 @@
 struct TableDifference {
     std::vector<Command> lines;
     /// How many of the first lines may use the urgent reserve: removals of servers that are
-    /// draining, gone or warming up, reduced weights, and the new servers of a table that would be
-    /// empty otherwise.
+    /// draining, gone or warming up, reduced weights, and the new servers of a table that is or
+    /// would be empty otherwise.
     std::size_t urgent_count = 0;
     /// The difference removes servers that are ready and warm; it does not wait for
     /// acknowledgements.
@@ -86,6 +88,7 @@
     std::vector<Command> publish(Micros now, bool full_table_mode);
 
 private:
+    using Assignment = InterimTables::Assignment;
     using TableUsers = std::map<TableId, std::vector<ProxyId>>;
 
     TableUsers users_of_tables() const;
@@ -97,7 +100,12 @@
     /// Whether all users have acknowledged the table's last change, or kAckTimeout has passed.
     bool is_acknowledged(Micros now, const Table& table, const std::vector<ProxyId>& users) const;
     /// The desired tables of each connected proxy that has none assigned by this instance.
-    std::vector<InterimTables::Assignment> pending_first_assignments(bool full_table_mode) const;
+    std::vector<Assignment> pending_first_assignments(bool full_table_mode) const;
+    bool is_empty(TableId table) const;
+    /// Whether the proxy has no tables from this instance, or one of them is empty.
+    bool lacks_servers(const Proxy& proxy) const;
+    /// Whether the desired tables have servers for operations that have none now.
+    bool gains_servers(const Proxy& proxy, const Assignment& desired) const;
     void publish_assignments(Micros now, bool full_table_mode, Priority priority);
     void publish_assignment(Micros now, ProxyId id, Proxy& proxy, bool full_table_mode,
                             Priority priority);
--- a/tests/policy/publisher_test.cpp
+++ b/tests/policy/publisher_test.cpp
@@ -156,6 +156,38 @@
     EXPECT_EQ(weight_of(commands[1]), 0);
 }
 
+// Guards against proxies that stay without a server because the messages that may wait are used up:
+// the first servers of an empty table are urgent.
+TEST_F(PublisherTest, TheFirstServersOfAnEmptyTableAreUrgent) {
+    Table table;
+    table.desired_weights = {{{1}, 1}, {{2}, 1}};
+    EXPECT_EQ(difference(table).urgent_count, 2U);
+}
+
+// Guards against proxies with an empty table that wait for another one like those that only change
+// their tables: they have no server.
+TEST_F(PublisherTest, ProxiesWithAnEmptyTableAreAssignedAnotherOneFirst) {
+    // Two of them may be used by changes that can wait.
+    settings.max_messages = 5;
+    settings.message_window = 10 * kSecond;
+    SendBudget tight_budget(settings, kStart);
+    Publisher tight(settings, fleet, outliers, slow_start, subsetting, tight_budget);
+    const Proxy& proxy = add_proxy(fleet, 1, 0, 1);
+    Table& zone_table = fleet.tables[kZoneTable];
+    zone_table.desired_weights = {{{1}, 1}};
+    tight.publish(kStart, false);
+    // The zone table and the full table are empty now.
+    fleet.servers[{1}].state = ServerState::Gone;
+    zone_table.desired_weights.clear();
+    tight.publish(kStart + 4 * kSecond, false);
+    const std::map<OperationMask, TableId> full{{0, fleet.full_table()}};
+    ASSERT_EQ(proxy.assigned_tables, full);
+    zone_table.desired_weights = {{{2}, 1}};
+    tight.publish(kStart + 5 * kSecond, false);
+    const std::map<OperationMask, TableId> zone{{0, kZoneTable}};
+    EXPECT_EQ(proxy.assigned_tables, zone);
+}
+
 // A proxy whose zone table is empty, or whose zone is unknown, must get the full table.
 TEST_F(PublisherTest, WithoutAZoneTableAProxyGetsTheFullTable) {
     const Proxy& proxy = add_proxy(fleet, 1, 0, 1);
