No proxy is moved to a table that a warming server has yet to leave

Cause: urgent lines of one table are merged for a second so that a proxy's messages last. publish_assignment() sends a table as it was published last, so more proxies got the server while its removal waited.

Change: a proxy that has a table keeps it while its next one, as published, contains a warming server that could collapse and is no longer desired. First assignments don't wait: what such a proxy holds is not known.

--- a/src/policy/publisher.cpp
+++ b/src/policy/publisher.cpp
@@ -271,6 +271,18 @@
     });
 }
 
+bool Publisher::names_endangered_server(Micros now, TableId id) const {
+    const auto found = fleet_.tables.find(id);
+    if (found == fleet_.tables.end()) {
+        return false;
+    }
+    const Table& table = found->second;
+    return std::ranges::any_of(table.published_weights, [&](const auto& entry) {
+        return !table.desired_weights.contains(entry.first) &&
+               slow_start_.can_collapse(now, fleet_.servers.at(entry.first));
+    });
+}
+
 // A proxy without tables from this instance may hold draining servers, and one whose table is empty
 // has no server; others that change their tables can wait.
 void Publisher::publish_assignments(Micros now, bool full_table_mode, Priority priority) {
@@ -292,6 +304,12 @@
     if (priority == Priority::FirstAssignment && !is_first && !gains_servers(proxy, desired)) {
         return;
     }
+    const auto endangers_servers = [&](const auto& entry) {
+        return names_endangered_server(now, entry.second);
+    };
+    if (!is_first && std::ranges::any_of(desired, endangers_servers)) {
+        return;
+    }
     if (is_first) {
         desired = interim_tables_.first_assignment(proxy, desired);
     }
--- a/tests/policy/publisher_test.cpp
+++ b/tests/policy/publisher_test.cpp
@@ -188,6 +188,32 @@
     EXPECT_EQ(proxy.assigned_tables, zone);
 }
 
+// Guards against more users for a table whose warming server is to leave it, while that removal
+// waits for others to be sent with it: a proxy that has a table keeps it until then.
+TEST_F(PublisherTest, NoProxyIsMovedToATableThatAWarmingServerHasToLeave) {
+    // Two of them may be used by changes that can wait; urgent ones are merged for 4 s.
+    settings.max_messages = 5;
+    settings.message_window = 10 * kSecond;
+    SendBudget limited_budget(settings, kStart);
+    Publisher limited(settings, fleet, outliers, slow_start, subsetting, limited_budget);
+    const Proxy& proxy = add_proxy(fleet, 1, 0, 1);
+    add_proxy(fleet, 2, -1, 1);
+    fleet.tables[kZoneTable].desired_weights = {{{1}, 1}};
+    Table& full_table = fleet.tables[fleet.full_table()];
+    full_table.desired_weights = {{{2}, 1}, {{3}, 1}};
+    limited.publish(kStart, false);
+    full_table.desired_weights = {{{3}, 1}};
+    limited.publish(kStart + 5 * kSecond, false);
+    fleet.servers[{3}].started_at = kStart + 5 * kSecond;
+    full_table.desired_weights.clear();
+    limited.publish(kStart + 5 * kSecond + kSecond / 2, true);
+    const std::map<OperationMask, TableId> zone{{0, kZoneTable}};
+    EXPECT_EQ(proxy.assigned_tables, zone);
+    limited.publish(kStart + 9 * kSecond, true);
+    const std::map<OperationMask, TableId> full{{0, fleet.full_table()}};
+    EXPECT_EQ(proxy.assigned_tables, full);
+}
+
 // A proxy whose zone table is empty, or whose zone is unknown, must get the full table.
 TEST_F(PublisherTest, WithoutAZoneTableAProxyGetsTheFullTable) {
     const Proxy& proxy = add_proxy(fleet, 1, 0, 1);
