A table rests on warming servers only if they withstand its demand

Cause: nothing compared a table's demand with what its servers withstand. fill_empty_tables() filled a local-only table that slow start had left empty with whatever server was ready, at full weight. Slow start's weights protect a warming server only beside warm ones that carry the rest; in a table of one line a weight reduces nothing. The limit that was meant for this needs proxies that limit admission, and took the servers that happen to be ready for all that are needed.

Ruled out: filling alone (with that loop taken out it falls too, 3.1 s after its start, at weight 0.205 as the only line); other tables (one invocation of another class); proxies that did not know (100% of the work was sent knowing); admission limits (the site has none).

Servers that fail don't count. required_capacity (new) tells the demand in units of weight from what was served while the fleet was healthy, and knows nothing before that. Admission limits of local-only tables follow the servers in the table and that demand; the full table gets one while the whole fleet is warming up.

--- a/src/policy/demand_estimator.cpp
+++ b/src/policy/demand_estimator.cpp
@@ -3,15 +3,29 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace badgergrade::policy {
 
-double requested_rate(Micros now, const Proxy& proxy) {
+double reported_rate(Micros now, const Proxy& proxy) {
     double total = 0;
     for (const auto& [operation, window] : proxy.demand) {
         total += window.sum(now, kDemandBucketWidth).rate();
     }
-    return total > 0 ? total : proxy.announced_rate;
+    return total;
+}
+
+double served_rate(Micros now, const Proxy& proxy) {
+    double total = 0;
+    for (const auto& [operation, window] : proxy.demand) {
+        total += window.sum(now, kDemandBucketWidth).served_rate();
+    }
+    return total;
+}
+
+double requested_rate(Micros now, const Proxy& proxy) {
+    const double reported = reported_rate(now, proxy);
+    return reported > 0 ? reported : proxy.announced_rate;
 }
 
 // The interval of a restarted proxy's first reports includes the time when it was down. Used in
@@ -20,11 +34,13 @@
     const Micros alive = std::max(now - proxy.process_started_at, kDemandBucketWidth);
     DemandSample sample;
     sample.invocations = static_cast<double>(report.attempts);
+    sample.failures = static_cast<double>(std::min(report.failures, report.attempts));
     sample.interval_seconds = to_seconds(std::min(alive, report.interval));
     proxy.demand[report.operation].bucket(now, kDemandBucketWidth) += sample;
 }
 
-std::vector<double> measure_demand_shares(Micros now, const FleetState& fleet, int proxy_count) {
+std::vector<double> measure_demand_rates(Micros now, const FleetState& fleet, int proxy_count,
+                                         RateOf rate_of) {
     std::vector<double> rates(static_cast<std::size_t>(fleet.zone_count), 0.0);
     std::vector<double> known_count(rates);
     double known_rate = 0;
@@ -33,7 +49,7 @@
         if (!fleet.has_zone(proxy.zone)) {
             continue;
         }
-        const double rate = requested_rate(now, proxy);
+        const double rate = rate_of(now, proxy);
         rates[index_of(proxy.zone)] += rate;
         known_rate += rate;
         known_count[index_of(proxy.zone)] += 1;
@@ -46,14 +62,16 @@
     for (const double count : known_count) {
         total_missing_count += std::max(0.0, even_count - count);
     }
-    double total = 0;
-    for (std::size_t zone = 0; zone < rates.size(); ++zone) {
-        if (total_missing_count > 0) {
-            const double missing_count_here = std::max(0.0, even_count - known_count[zone]);
-            rates[zone] += average_rate * unknown_count * missing_count_here / total_missing_count;
-        }
-        total += rates[zone];
+    for (std::size_t zone = 0; total_missing_count > 0 && zone < rates.size(); ++zone) {
+        const double missing_count_here = std::max(0.0, even_count - known_count[zone]);
+        rates[zone] += average_rate * unknown_count * missing_count_here / total_missing_count;
     }
+    return rates;
+}
+
+std::vector<double> measure_demand_shares(Micros now, const FleetState& fleet, int proxy_count) {
+    std::vector<double> rates = measure_demand_rates(now, fleet, proxy_count, requested_rate);
+    const double total = std::accumulate(rates.begin(), rates.end(), 0.0);
     for (double& rate : rates) {
         rate = total > 0 ? rate / total : 1.0 / fleet.zone_count;
     }
--- a/src/policy/demand_estimator.h
+++ b/src/policy/demand_estimator.h
@@ -18,13 +18,27 @@
 
 namespace badgergrade::policy {
 
+/// The rate of invocations that a proxy reported, per second; 0 if it reported none.
+double reported_rate(Micros now, const Proxy& proxy);
+
+/// The part of that rate that it served; admission limits count as served.
+double served_rate(Micros now, const Proxy& proxy);
+
 /// The rate of invocations that a proxy receives, per second; the rate that it announced if it
 /// reported none.
 double requested_rate(Micros now, const Proxy& proxy);
 
+/// A way to tell the rate of a proxy: one of the functions above.
+using RateOf = double (*)(Micros now, const Proxy& proxy);
+
 /// Adds a report that arrives now to the proxy's demand window.
 void add_demand(Micros now, const event::ProxyDemandReport& report, Proxy& proxy);
 
+/// Invocations per second by zone, with the proxies that never connected to this instance; these
+/// count with the average rate, 1 if no proxy has a rate. `proxy_count`: in the whole deployment.
+std::vector<double> measure_demand_rates(Micros now, const FleetState& fleet, int proxy_count,
+                                         RateOf rate_of);
+
 /// The shares by the reports of the current window. `proxy_count`: in the whole deployment.
 std::vector<double> measure_demand_shares(Micros now, const FleetState& fleet, int proxy_count);
 
--- a/src/policy/fleet_state.h
+++ b/src/policy/fleet_state.h
@@ -115,6 +115,15 @@
         return found != servers.end() && found->second.state == ServerState::Ready;
     }
 
+    /// The listed weight of all ready servers.
+    double ready_weight() const {
+        double total = 0;
+        for (const auto& [id, server] : servers) {
+            total += server.state == ServerState::Ready ? server.weight : 0;
+        }
+        return total;
+    }
+
     // Table numbers, in this order: base tables (zone tables, the full table with the servers of
     // all zones, the zones' tables for local-only operations), the subsets of zone tables and
     // local-only tables, interim tables.
--- a/src/policy/outlier_detection.cpp
+++ b/src/policy/outlier_detection.cpp
@@ -126,6 +126,12 @@
     return total;
 }
 
+AttemptStats OutlierDetector::zone_stats(Micros now, ZoneId zone, ServerId server) const {
+    const auto found = states_.find({zone, server});
+    return found == states_.end() ? AttemptStats{}
+                                  : found->second.attempts.sum(now, kBucketWidth, kDecisionBuckets);
+}
+
 bool OutlierDetector::is_ejected(ZoneId zone, ServerId server) const {
     const auto found = states_.find({zone, server});
     return found != states_.end() && found->second.state == EjectionState::Ejected;
--- a/src/policy/outlier_detection.h
+++ b/src/policy/outlier_detection.h
@@ -113,6 +113,8 @@
 
     /// Sum over all zones and ready servers, over the newest kDecisionBuckets.
     AttemptStats fleet_stats(Micros now, const FleetState& fleet) const;
+    /// Of one zone's proxies at one server, over the newest kDecisionBuckets.
+    AttemptStats zone_stats(Micros now, ZoneId zone, ServerId server) const;
     /// Sum over all zones of one server, over the newest buckets of a second each.
     AttemptStats server_stats(Micros now, ServerId server, int newest_buckets) const;
 
--- a/src/policy/overload_control.cpp
+++ b/src/policy/overload_control.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <optional>
 
 #include "policy/command.h"
 
@@ -30,9 +31,48 @@
 constexpr double kMinRate = 0.1;
 /// The least work of an invocation, in seconds; prevents a division by an objective of zero.
 constexpr double kMinWorkSeconds = 1e-3;
-/// Local-only operations may send a zone's own servers this many times their share of the demand.
+/// Prevents a division by zero for a zone without demand.
+constexpr double kMinWeight = 1e-9;
+/// The servers of a local-only table may be sent this many times their share of the demand.
 constexpr double kWarmingHeadroom = 2;
 
+/// Whether there are ready servers, all of which could collapse.
+bool all_can_collapse(Micros now, const FleetState& fleet, const SlowStart& slow_start) {
+    bool any = false;
+    for (const auto& [id, server] : fleet.servers) {
+        if (server.state != ServerState::Ready) {
+            continue;
+        }
+        if (!slow_start.can_collapse(now, server)) {
+            return false;
+        }
+        any = true;
+    }
+    return any;
+}
+
+/// The part of the demand that the servers of a table may be sent, 0 to 1. `usual_weight`: the
+/// weight that the demand requires if the ready servers of the fleet carry all demand;
+/// `required_weight`: by what was measured, where that is known. Otherwise a single warming server,
+/// left of a zone that was just lost, would receive all invocations of the zone.
+double sustainable_fraction(Micros now, const FleetState& fleet, const SlowStart& slow_start,
+                            const Table& table, double usual_weight,
+                            std::optional<double> required_weight) {
+    double warm = 0;
+    double warming = 0;
+    for (const auto& [id, planned] : table.desired_weights) {
+        const Server& server = fleet.servers.at(id);
+        const double weight = server.weight * slow_start.weight_fraction(now, server, 1);
+        (slow_start.can_collapse(now, server) ? warming : warm) += weight;
+    }
+    if (warm <= 0 && !required_weight) {
+        return 0;
+    }
+    const double demanded =
+        warming > 0 ? std::max(usual_weight, required_weight.value_or(0)) : usual_weight;
+    return std::min(1.0, kWarmingHeadroom * (warm + warming) / std::max(kMinWeight, demanded));
+}
+
 }  // namespace
 
 /// The requested work.
@@ -89,7 +129,7 @@
 }
 
 void OverloadControl::update(Micros now, FleetState& fleet, const OutlierDetector& outliers,
-                             const SlowStart& slow_start,
+                             const SlowStart& slow_start, const RequiredCapacity& required,
                              const std::vector<double>& demand_shares) {
     if (admission_mode_ == AdmissionMode::None || work_seconds_.empty()) {
         return;
@@ -102,8 +142,14 @@
         next_update_ = now + kUpdateInterval;
     }
     const OperationSets& operations = fleet.operations;
-    set_limits(fleet, measure_demand(now, fleet, nullptr),
-               {fleet.full_table(), operations.any_zone, mean_shed_fraction(fleet), 1});
+    const double full_table_fraction =
+        all_can_collapse(now, fleet, slow_start)
+            ? sustainable_fraction(now, fleet, slow_start, fleet.tables[fleet.full_table()],
+                                   fleet.ready_weight(), required.of_fleet())
+            : 1;
+    set_limits(
+        fleet, measure_demand(now, fleet, nullptr),
+        {fleet.full_table(), operations.any_zone, mean_shed_fraction(fleet), full_table_fraction});
     for (ZoneId zone{0}; zone.value < fleet.zone_count; ++zone.value) {
         const double shed_fraction = shed_fractions_[index_of(zone)];
         const Demand demand = measure_demand(now, fleet, &zone);
@@ -112,24 +158,11 @@
         if (operations.local_only == 0) {
             continue;
         }
-        double zone_weight = 0;
-        double total_weight = 0;
-        for (const auto& [id, server] : fleet.servers) {
-            if (server.state == ServerState::Ready) {
-                total_weight += server.weight;
-                zone_weight += server.zone == zone
-                                   ? server.weight * slow_start.weight_fraction(now, server, 1)
-                                   : 0;
-            }
-        }
-        // Otherwise a single warming server, left of a zone that was just lost, would receive all
-        // invocations of the zone.
-        const double demanded_weight = std::max(1e-9, demand_shares[index_of(zone)] * total_weight);
-        const double local_only_fraction =
-            std::min(1.0, kWarmingHeadroom * zone_weight / demanded_weight);
+        const double admitted = sustainable_fraction(
+            now, fleet, slow_start, fleet.tables[fleet.local_only_table(zone)],
+            demand_shares[index_of(zone)] * fleet.ready_weight(), required.of_zone(zone));
         set_limits(fleet, demand,
-                   {fleet.local_only_table(zone), operations.local_only, shed_fraction,
-                    local_only_fraction});
+                   {fleet.local_only_table(zone), operations.local_only, shed_fraction, admitted});
     }
 }
 
@@ -181,8 +214,7 @@
         if ((limits.operations >> k & 1) == 0) {
             continue;
         }
-        const bool local_only = (fleet.operations.local_only >> k & 1) != 0;
-        admitted = std::min(admitted, local_only ? limits.local_only_fraction : 1.0);
+        admitted = std::min(admitted, limits.sustainable_fraction);
         admitted = std::floor(admitted * kFractionSteps) / kFractionSteps;
         double limit = admitted;
         if (admission_mode_ == AdmissionMode::Rate) {
--- a/src/policy/overload_control.h
+++ b/src/policy/overload_control.h
@@ -13,20 +13,23 @@
 //
 // Rates are those of the connected proxies' demand reports over the last 6.4 s (kDemandBuckets). A
 // zone table has the shed fraction of its zone; the full table has the mean over the connected
-// proxies of their zones' shed fractions. A local-only table admits no more than twice what the
-// zone's own servers carry of the zone's demand, warming servers counted at their slow start
-// fraction. Subset tables get the limits of their zone's tables (subsetting.h). In fraction mode
-// the limit is the admitted fraction, in steps of 1/20; in rate mode it is admission_rate_limit().
+// proxies of their zones' shed fractions. A local-only table admits no more than twice what its
+// servers carry of the zone's demand, warming servers counted at their slow start fraction; so does
+// the full table while all ready servers are warming up. A table with warming servers alone admits
+// nothing while the weight that the demand requires (required_capacity.h) is not known. Subset
+// tables get the limits of their zone's tables (subsetting.h). In fraction mode the limit is the
+// admitted fraction, in steps of 1/20; in rate mode it is admission_rate_limit().
 //
 // Invariants: at most 80% of a zone's work is shed and at least a tenth of each operation is
-// admitted, so that a recovery can be observed; without an overload nothing is shed.
-// docs/design.md, "Changed" 5, has the reasons.
+// admitted where warm servers are ready, so that a recovery can be observed; without an overload
+// nothing is shed. docs/design.md, "Changed" 5, has the reasons.
 #pragma once
 
 #include <vector>
 
 #include "policy/fleet_state.h"
 #include "policy/outlier_detection.h"
+#include "policy/required_capacity.h"
 #include "policy/settings.h"
 #include "policy/slow_start.h"
 
@@ -46,7 +49,8 @@
     /// Sets the desired limits of the full table, the zone tables and the local-only tables.
     /// `demand_shares`: by zone. Call it once per decision; shed fractions change once a second.
     void update(Micros now, FleetState& fleet, const OutlierDetector& outliers,
-                const SlowStart& slow_start, const std::vector<double>& demand_shares);
+                const SlowStart& slow_start, const RequiredCapacity& required,
+                const std::vector<double>& demand_shares);
 
     /// Whether any zone's shed fraction is above 0.
     bool is_shedding() const;
@@ -59,8 +63,8 @@
         TableId table;
         OperationMask operations;
         double shed_fraction;
-        /// The largest admitted fraction (0 to 1) of local-only operations.
-        double local_only_fraction;
+        /// The largest admitted fraction (0 to 1) of each operation.
+        double sustainable_fraction;
     };
 
     /// `zone`: only the proxies of this zone; null: all proxies.
--- a/src/policy/planner.cpp
+++ b/src/policy/planner.cpp
@@ -13,6 +13,7 @@
 #include "policy/outlier_detection.h"
 #include "policy/overload_control.h"
 #include "policy/publisher.h"
+#include "policy/required_capacity.h"
 #include "policy/send_budget.h"
 #include "policy/shard_assignment.h"
 #include "policy/slow_start.h"
@@ -86,6 +87,7 @@
           outliers_(settings.zone_count, shortest_objective(settings), cpu_column(settings)),
           slow_start_(settings, shortest_objective(settings), now),
           demand_(settings.zone_count, settings.proxy_count, now),
+          required_(settings),
           overload_(settings),
           tables_(settings),
           subsetting_(settings.zone_count, settings.connection_idle_timeout),
@@ -193,10 +195,11 @@
         }
         endpoints_.remove_unresponsive(now, fleet_, outliers_);
         detect_outliers(now);
-        if (auto text = tables_.update(now, fleet_, outliers_, slow_start_, demand_)) {
+        required_.update(now, fleet_, outliers_.health());
+        if (auto text = tables_.update(now, fleet_, outliers_, slow_start_, required_, demand_)) {
             log(std::move(*text));
         }
-        overload_.update(now, fleet_, outliers_, slow_start_, demand_.shares());
+        overload_.update(now, fleet_, outliers_, slow_start_, required_, demand_.shares());
         for (const auto& change : subsetting_.update(now, fleet_, outliers_, slow_start_)) {
             log(log_text(change));
         }
@@ -224,6 +227,7 @@
     OutlierDetector outliers_;
     SlowStart slow_start_;
     DemandEstimator demand_;
+    RequiredCapacity required_;
     OverloadControl overload_;
     TablePlanner tables_;
     Subsetting subsetting_;
--- a/src/policy/sliding_window.h
+++ b/src/policy/sliding_window.h
@@ -52,16 +52,24 @@
 /// The invocations that a proxy received, and the time in which it received them.
 struct DemandSample {
     double invocations = 0;
+    /// Those that the proxy let in and could not serve.
+    double failures = 0;
     double interval_seconds = 0;
 
     DemandSample& operator+=(const DemandSample& other) {
         invocations += other.invocations;
+        failures += other.failures;
         interval_seconds += other.interval_seconds;
         return *this;
     }
 
     /// Invocations per second; 0 if nothing was reported.
     double rate() const { return interval_seconds > 0 ? invocations / interval_seconds : 0; }
+
+    /// Served invocations per second.
+    double served_rate() const {
+        return interval_seconds > 0 ? (invocations - failures) / interval_seconds : 0;
+    }
 };
 
 /// The results of the attempts at one server, or at several.
--- a/src/policy/slow_start.cpp
+++ b/src/policy/slow_start.cpp
@@ -29,32 +29,44 @@
     : window_(settings.slow_start_window),
       collapse_time_(settings.overload_collapse_time),
       initial_capacity_fraction_(settings.initial_capacity_fraction),
-      collapse_factor_(settings.overload_collapse_factor /
-                       (settings.load_balancing_policy == LoadBalancingPolicy::LeastRequest
-                            ? kLeastRequestFactor
-                            : 1)),
+      collapse_factor_(settings.overload_collapse_factor),
+      balanced_collapse_factor_(settings.overload_collapse_factor /
+                                (settings.load_balancing_policy == LoadBalancingPolicy::LeastRequest
+                                     ? kLeastRequestFactor
+                                     : 1)),
       objective_seconds_(to_seconds(shortest_objective)),
       expected_overload_until_(now + kRecomputeInterval) {}
 
+double SlowStart::progress(Micros now, const Server& server) const {
+    const double age_fraction =
+        std::max(0.0, to_seconds(now - server.started_at) / to_seconds(window_));
+    return std::floor(age_fraction * kWeightSteps) / kWeightSteps;
+}
+
+double SlowStart::capacity_fraction(double progress) const {
+    return initial_capacity_fraction_ + (1 - initial_capacity_fraction_) * progress;
+}
+
 double SlowStart::weight_fraction(Micros now, const Server& server, double overload) const {
     if (server.started_at <= Micros{0} || server.started_at + window_ <= now) {
         return 1;
     }
-    const double age_fraction =
-        std::max(0.0, to_seconds(now - server.started_at) / to_seconds(window_));
-    // Proxies that restarted together with the server may still use tables that this instance did
-    // not send. Their attempts must be out of the collapse window before this instance can give the
-    // server weight.
-    if (overload >= kSevereOverload || now < server.start_reported_at + collapse_time_) {
+    if (overload >= kSevereOverload || just_reported(now, server)) {
         return 0;
     }
-    const double progress = std::floor(age_fraction * kWeightSteps) / kWeightSteps;
-    const double capacity_bound =
-        collapse_factor_ > 0
-            ? collapse_factor_ / std::max(kMinExpectedOverload, overload) *
-                  (initial_capacity_fraction_ + (1 - initial_capacity_fraction_) * progress)
-            : 1;
-    return std::min(std::max(kReducedWeightFraction, progress), capacity_bound);
+    const double progressed = progress(now, server);
+    const double capacity_bound = balanced_collapse_factor_ > 0
+                                      ? balanced_collapse_factor_ /
+                                            std::max(kMinExpectedOverload, overload) *
+                                            capacity_fraction(progressed)
+                                      : 1;
+    return std::min(std::max(kReducedWeightFraction, progressed), capacity_bound);
+}
+
+double SlowStart::withstood_weight(Micros now, const Server& server) const {
+    return just_reported(now, server)
+               ? 0
+               : server.weight * collapse_factor_ * capacity_fraction(progress(now, server));
 }
 
 double SlowStart::weight_fraction(Micros now, const Server& server) const {
--- a/src/policy/slow_start.h
+++ b/src/policy/slow_start.h
@@ -45,6 +45,10 @@
     double weight_fraction(Micros now, const Server& server) const;
     /// Whether its fraction at its usual load is below 1. A server without a start time is warm.
     bool is_warming_up(Micros now, const Server& server) const;
+    /// The weight of warm servers whose usual load a warming server withstands without collapsing:
+    /// the collapse factor x its current capacity. 0 for the first
+    /// Settings::overload_collapse_time after this instance was notified of the start.
+    double withstood_weight(Micros now, const Server& server) const;
 
     /// Whether the server is warming up and could collapse if it is sent too much.
     bool can_collapse(Micros now, const Server& server) const {
@@ -64,11 +68,25 @@
                                   const FleetState& fleet);
 
 private:
+    /// How far the server has warmed up, 0 to 1, in steps.
+    double progress(Micros now, const Server& server) const;
+    /// The certain capacity at this progress, as a fraction of the full capacity.
+    double capacity_fraction(double progress) const;
+
+    /// Proxies that restarted together with the server may still use tables that this instance did
+    /// not send. Their attempts must be out of the collapse window before this instance can give
+    /// the server weight.
+    bool just_reported(Micros now, const Server& server) const {
+        return now < server.start_reported_at + collapse_time_;
+    }
+
     Micros window_;
     Micros collapse_time_;
     double initial_capacity_fraction_;
     /// The multiple of its capacity under which a server does not collapse; 0: it never collapses.
     double collapse_factor_;
+    /// The same for a server that is one of several in a table, by the load balancing policy.
+    double balanced_collapse_factor_;
     double objective_seconds_;
     /// Severe at first: an instance that starts during an overload has no reports of it yet.
     double expected_overload_ = kSevereOverload;
--- a/src/policy/table_planner.cpp
+++ b/src/policy/table_planner.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <numeric>
-#include <set>
 #include <utility>
 
 namespace badgergrade::policy {
@@ -23,10 +22,11 @@
 
 /// Prevents a division by zero for a zone without servers.
 constexpr double kMinZoneWeight = 1e-9;
-/// A zone table with at most kNarrowTableServers servers contains warming servers only beside at
-/// least kMinWarmServers warm ones.
-constexpr std::ptrdiff_t kNarrowTableServers = 5;
-constexpr std::ptrdiff_t kMinWarmServers = 2;
+
+/// Whether attempts show that a server fails.
+bool is_failing(const AttemptStats& stats) {
+    return stats.attempts >= kMinAttempts && stats.failed_fraction() >= kFailingFraction;
+}
 
 /// Whether the proxies receive more than they announced plus the allowed overload.
 bool demand_exceeds_announced(Micros now, const FleetState& fleet) {
@@ -41,29 +41,6 @@
     return requested > announced * (1 + kAllowedOverloadFraction);
 }
 
-/// Fills the full table and the local-only tables, if ejections or slow start have left them empty,
-/// with all servers that belong there.
-void fill_empty_tables(FleetState& fleet, const std::vector<ServerCapacity>& ready) {
-    std::set<TableId> empty;
-    for (TableId table = fleet.full_table(); table <= fleet.last_base_table(); ++table.value) {
-        if (fleet.tables[table].desired_weights.empty()) {
-            empty.insert(table);
-        }
-    }
-    const bool has_local_only = fleet.operations.local_only != 0;
-    for (const ServerCapacity& server : ready) {
-        const TableId local = has_local_only && fleet.has_zone(server.zone)
-                                  ? fleet.local_only_table(server.zone)
-                                  : fleet.full_table();
-        for (const TableId table : {fleet.full_table(), local}) {
-            if (empty.contains(table)) {
-                fleet.tables[table].desired_weights[server.server] =
-                    fleet.servers[server.server].weight;
-            }
-        }
-    }
-}
-
 }  // namespace
 
 double worst_zone_load(const std::vector<double>& demand_shares, const std::vector<double>& usable,
@@ -84,13 +61,14 @@
 TablePlanner::TablePlanner(const Settings& settings)
     : only_instance_(settings.instance_count == 1),
       can_limit_admission_(settings.admission_mode != AdmissionMode::None),
-      warming_servers_can_collapse_(settings.overload_collapse_factor > 0) {}
+      protection_(settings) {}
 
 std::optional<std::string> TablePlanner::update(Micros now, FleetState& fleet,
                                                 const OutlierDetector& outliers,
                                                 const SlowStart& slow_start,
+                                                const RequiredCapacity& required,
                                                 DemandEstimator& demand) {
-    const Context context{now, fleet, outliers, slow_start, demand};
+    const Context context{now, fleet, outliers, slow_start, required, demand};
     const std::vector<ServerCapacity> ready = ready_servers(context);
     ZoneAllocation allocation = allocate(context, ready);
     const std::string reason = allocation.infeasible_reason.empty()
@@ -99,7 +77,7 @@
     std::optional<std::string> log_text = update_mode(context, reason);
     zone_of_server_ = std::move(allocation.zone_of_server);
     fill_tables(context, ready);
-    fill_empty_tables(fleet, ready);
+    protect_warming_servers(context, ready);
     return log_text;
 }
 
@@ -218,8 +196,7 @@
         if (fraction <= 0) {
             continue;
         }
-        // The full table drops a server that half of the zones have ejected.
-        if (outliers.ejecting_zone_count(id) * 2 < fleet.zone_count) {
+        if (is_in_full_table(context, id)) {
             fleet.tables[fleet.full_table()].desired_weights[id] = server.weight * fraction;
         }
         const auto allocated = zone_of_server_.find(id);
@@ -231,26 +208,65 @@
             add(fleet.local_only_table(server.zone), server.zone, id);
         }
     }
-    if (warming_servers_can_collapse_) {
-        keep_warming_out_of_narrow_tables(context);
-    }
 }
 
-// A low weight does not protect a warming server in a narrow table: with two servers, a proxy that
-// uses least request picks either half of the time, and a proxy that avoids its failing servers has
-// only the warming one left.
-void TablePlanner::keep_warming_out_of_narrow_tables(const Context& context) {
+void TablePlanner::protect_warming_servers(const Context& context,
+                                           const std::vector<ServerCapacity>& ready) const {
     FleetState& fleet = context.fleet;
-    const auto is_warming = [&](const auto& entry) {
-        return context.slow_start.is_warming_up(context.now, fleet.servers[entry.first]);
+    const auto protect = [&](TableId table, const TableDemand& demand) {
+        protection_.apply(context.now, demand, fleet, context.slow_start, fleet.tables[table]);
     };
+    protect(fleet.full_table(), full_table_demand(context, ready));
     for (ZoneId zone{0}; zone.value < fleet.zone_count; ++zone.value) {
-        auto& weights = fleet.tables[FleetState::zone_table(zone)].desired_weights;
-        const auto warm = std::ssize(weights) - std::ranges::count_if(weights, is_warming);
-        if (warm >= 1 && warm < kMinWarmServers && std::ssize(weights) <= kNarrowTableServers) {
-            std::erase_if(weights, is_warming);
+        // A zone table may stay empty: its proxies then use the full table.
+        protect(FleetState::zone_table(zone),
+                {context.required.of_zone(zone), false, {}, {}, failing_in_zone(context, zone)});
+        if (fleet.operations.local_only != 0) {
+            protect(fleet.local_only_table(zone), local_only_demand(context, zone, ready));
         }
     }
 }
 
+std::function<bool(ServerId)> TablePlanner::failing_in_zone(const Context& context, ZoneId zone) {
+    return [&context, zone](ServerId server) {
+        return is_failing(context.outliers.zone_stats(context.now, zone, server));
+    };
+}
+
+TableDemand TablePlanner::full_table_demand(const Context& context,
+                                            const std::vector<ServerCapacity>& ready) const {
+    TableDemand demand;
+    demand.required_weight = context.required.of_fleet();
+    demand.is_failing = [&context](ServerId server) {
+        return is_failing(context.outliers.server_stats(context.now, server, kDecisionBuckets));
+    };
+    demand.limited_by_admission =
+        can_limit_admission_ && std::ranges::all_of(ready, &ServerCapacity::warming_up);
+    for (const ServerCapacity& server : ready) {
+        (is_in_full_table(context, server.server) ? demand.usable : demand.ejected)
+            .push_back(server.server);
+    }
+    return demand;
+}
+
+TableDemand TablePlanner::local_only_demand(const Context& context, ZoneId zone,
+                                            const std::vector<ServerCapacity>& ready) const {
+    TableDemand demand;
+    demand.required_weight = context.required.of_local_only(zone);
+    demand.limited_by_admission = can_limit_admission_;
+    demand.is_failing = failing_in_zone(context, zone);
+    for (const ServerCapacity& server : ready) {
+        if (server.zone == zone) {
+            (context.outliers.is_ejected(zone, server.server) ? demand.ejected : demand.usable)
+                .push_back(server.server);
+        }
+    }
+    return demand;
+}
+
+// The full table drops a server that half of the zones have ejected.
+bool TablePlanner::is_in_full_table(const Context& context, ServerId server) {
+    return context.outliers.ejecting_zone_count(server) * 2 < context.fleet.zone_count;
+}
+
 }  // namespace badgergrade::policy
--- a/src/policy/table_planner.h
+++ b/src/policy/table_planner.h
@@ -1,8 +1,8 @@
 // Table planning: the desired weights of the base tables (full table, zone tables, local-only
 // tables), and the mode, which says whether proxies use the zone tables or all use the full table.
 //
-// Inputs: the ready servers, demand shares, ejections, slow start, and each zone's health. Outputs:
-// Table::desired_weights, and the mode.
+// Inputs: the ready servers, demand shares, ejections, slow start, the weight that the demand
+// requires, and each zone's health. Outputs: Table::desired_weights, and the mode.
 //
 // Zone tables follow the zone allocation (zone_allocation.h). All proxies use the full table
 // (fallback)
@@ -13,20 +13,22 @@
 // Zone tables are used again once the allocation was feasible for the hold-down recomputations and
 // no server is warming up, to prevent flapping.
 //
-// Invariants: an ejection never leaves the full table or a local-only table without servers; a
-// server with a slow start weight of 0 is in no table, except in a full or local-only table that
-// would otherwise be empty; a zone table with few servers contains warming servers only beside
-// several warm ones. docs/design.md, "Changed" 3, has the reasons.
+// Invariants: an ejection never leaves the full table or a local-only table without servers; what
+// warming servers are in a table follows collapse_protection.h. docs/design.md, "Changed" 2 and 3,
+// has the reasons.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "policy/collapse_protection.h"
 #include "policy/demand_estimator.h"
 #include "policy/fleet_state.h"
 #include "policy/outlier_detection.h"
+#include "policy/required_capacity.h"
 #include "policy/settings.h"
 #include "policy/slow_start.h"
 #include "policy/zone_allocation.h"
@@ -52,7 +54,7 @@
     /// operator's log if the mode changed.
     std::optional<std::string> update(Micros now, FleetState& fleet,
                                       const OutlierDetector& outliers, const SlowStart& slow_start,
-                                      DemandEstimator& demand);
+                                      const RequiredCapacity& required, DemandEstimator& demand);
 
     /// Whether all proxies use the full table.
     bool full_table_mode() const { return full_table_mode_; }
@@ -64,6 +66,7 @@
         FleetState& fleet;
         const OutlierDetector& outliers;
         const SlowStart& slow_start;
+        const RequiredCapacity& required;
         DemandEstimator& demand;
     };
 
@@ -77,11 +80,19 @@
     /// if the mode or the reason changed.
     std::optional<std::string> update_mode(const Context& context, const std::string& reason);
     void fill_tables(const Context& context, const std::vector<ServerCapacity>& ready) const;
-    static void keep_warming_out_of_narrow_tables(const Context& context);
+    /// Corrects the tables in which warming servers would be sent more than they withstand.
+    void protect_warming_servers(const Context& context,
+                                 const std::vector<ServerCapacity>& ready) const;
+    static std::function<bool(ServerId)> failing_in_zone(const Context& context, ZoneId zone);
+    TableDemand full_table_demand(const Context& context,
+                                  const std::vector<ServerCapacity>& ready) const;
+    TableDemand local_only_demand(const Context& context, ZoneId zone,
+                                  const std::vector<ServerCapacity>& ready) const;
+    static bool is_in_full_table(const Context& context, ServerId server);
 
     bool only_instance_;
     bool can_limit_admission_;
-    bool warming_servers_can_collapse_;
+    CollapseProtection protection_;
     /// The current allocation.
     std::map<ServerId, ZoneId> zone_of_server_;
     bool full_table_mode_ = false;
--- a/tests/policy/overload_control_test.cpp
+++ b/tests/policy/overload_control_test.cpp
@@ -58,20 +58,46 @@
         add_demand(kStart, {{1}, {operation}, 10, 0, kSecond}, proxy);
     }
     OverloadControl control(settings);
-    control.update(kStart, fleet, outliers, SlowStart(settings, kObjective, kStart), {1.0});
+    control.update(kStart, fleet, outliers, SlowStart(settings, kObjective, kStart),
+                   RequiredCapacity(settings), {1.0});
     const auto& limits = fleet.tables[FleetState::zone_table({0})].desired_limits;
     EXPECT_EQ(limits.at({0}), 1);
     EXPECT_LT(limits.at({1}), 1);
     EXPECT_TRUE(control.is_shedding());
 }
 
+// Guards against a local-only table of a single warming server whose limit is computed for the
+// servers that happen to be ready: its zone was lost and the others are not back yet. It admits
+// nothing before the demand is known, and everything where servers never collapse.
+TEST(OverloadControl, ALoneWarmingServerAdmitsNothingWhileTheDemandIsUnknown) {
+    for (const double collapse_factor : {3.0, 0.0}) {
+        Settings settings = basic_settings(1);
+        settings.operations[0].local_only = true;
+        settings.admission_mode = AdmissionMode::Fraction;
+        settings.slow_start_window = 16 * kSecond;
+        settings.initial_capacity_fraction = 0.2;
+        settings.overload_collapse_factor = collapse_factor;
+        FleetState fleet = empty_fleet(1);
+        fleet.operations = {1, 1, 0};
+        add_server(fleet, 1, 0).started_at = kStart - 8 * kSecond;
+        add_proxy(fleet, 1, 0, 20);
+        const TableId table = fleet.local_only_table({0});
+        fleet.tables[table].desired_weights[{1}] = 0.5;
+        const OutlierDetector outliers(1, kObjective, kNoCpuColumn);
+        const SlowStart slow_start(settings, kObjective, kStart);
+        OverloadControl control(settings);
+        control.update(kStart, fleet, outliers, slow_start, RequiredCapacity(settings), {1.0});
+        EXPECT_EQ(fleet.tables[table].desired_limits.at({0}), collapse_factor > 0 ? 0 : 1);
+    }
+}
+
 // Proxies that can't limit admission are sent no limits.
 TEST(OverloadControl, SetsNoLimitsIfProxiesCannotLimitAdmission) {
     const Settings settings = basic_settings(1);
     FleetState fleet = empty_fleet(1);
     OverloadControl control(settings);
     control.update(kStart, fleet, OutlierDetector(1, kObjective, kNoCpuColumn),
-                   SlowStart(settings, kObjective, kStart), {1.0});
+                   SlowStart(settings, kObjective, kStart), RequiredCapacity(settings), {1.0});
     EXPECT_TRUE(fleet.tables.empty());
 }
 
--- a/tests/policy/table_planner_test.cpp
+++ b/tests/policy/table_planner_test.cpp
@@ -21,7 +21,7 @@
 
     std::optional<std::string> update(Micros now) {
         demand.update(now, fleet);
-        return planner.update(now, fleet, outliers, slow_start, demand);
+        return planner.update(now, fleet, outliers, slow_start, required, demand);
     }
 
     std::size_t width(TableId table) { return fleet.tables[table].desired_weights.size(); }
@@ -31,6 +31,7 @@
     OutlierDetector outliers{2, kObjective, kNoCpuColumn};
     SlowStart slow_start{settings, kObjective, kStart};
     DemandEstimator demand{2, 2, kStart};
+    RequiredCapacity required{settings};
     TablePlanner planner{settings};
 };
 
@@ -56,7 +57,7 @@
     TablePlanner careful{settings};
     const auto names_warming_server = [&](TableId table) {
         demand.update(kStart, fleet);
-        careful.update(kStart, fleet, outliers, warming, demand);
+        careful.update(kStart, fleet, outliers, warming, required, demand);
         return fleet.tables[table].desired_weights.contains({0});
     };
     fleet.servers[{0}].started_at = kStart - 8 * kSecond;
