Invocations that were not admitted are no proof of what servers carry

Callers saw nothing yet: found by reading. Where proxies limit admission, what they report includes what they did not admit, so a zone that sheds load would have passed for one whose servers carry all of it, and the weight that the demand requires been too low.

Change: no load is proven while a published limit admits less than all. RequiredCapacityTest.LimitedAdmissionProvesNothing fails without it.

--- a/src/policy/demand_estimator.h
+++ b/src/policy/demand_estimator.h
@@ -21,7 +21,7 @@
 /// The rate of invocations that a proxy reported, per second; 0 if it reported none.
 double reported_rate(Micros now, const Proxy& proxy);
 
-/// The part of that rate that it served; admission limits count as served.
+/// The part of that rate that did not fail; what the proxy did not admit counts too.
 double served_rate(Micros now, const Proxy& proxy);
 
 /// The rate of invocations that a proxy receives, per second; the rate that it announced if it
--- a/src/policy/required_capacity.cpp
+++ b/src/policy/required_capacity.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <numeric>
 
+#include "policy/command.h"
 #include "policy/demand_estimator.h"
 
 namespace badgergrade::policy {
@@ -35,10 +36,22 @@
            std::ranges::count(health, ZoneCondition::Degraded, &ZoneHealth::condition) == 0;
 }
 
+/// Whether some table's users may not admit everything.
+bool limits_admission(const FleetState& fleet, AdmissionMode mode) {
+    const double unlimited =
+        mode == AdmissionMode::Rate ? command::SetAdmission::kUnlimitedRate : 1.0;
+    return mode != AdmissionMode::None && std::ranges::any_of(fleet.tables, [&](const auto& table) {
+               return std::ranges::any_of(table.second.published_limits, [&](const auto& limit) {
+                   return limit.second < unlimited;
+               });
+           });
+}
+
 }  // namespace
 
 RequiredCapacity::RequiredCapacity(const Settings& settings)
     : proxy_count_(settings.proxy_count),
+      admission_mode_(settings.admission_mode),
       usual_demand_(static_cast<std::size_t>(settings.zone_count)) {
     for (const Operation& operation : settings.operations) {
         work_seconds_.push_back(to_seconds(operation.latency_objective));
@@ -54,12 +67,14 @@
     }
 }
 
-// What proxies only announced proves nothing: those without reports count as idle here.
+// What proxies only announced proves nothing: those without reports count as idle here. Neither
+// does what they reported while limits are in force: it includes what they did not admit.
 void RequiredCapacity::prove_load(Micros now, const FleetState& fleet,
                                   const std::vector<ZoneHealth>& health) {
     const double weight = fleet.ready_weight();
     const bool any_served = reported_by(now, fleet, std::nullopt).served_rate > 0;
-    if (!any_served || !is_healthy(health) || weight <= 0) {
+    if (!any_served || !is_healthy(health) || weight <= 0 ||
+        limits_admission(fleet, admission_mode_)) {
         last_load_.reset();
         return;
     }
--- a/src/policy/required_capacity.h
+++ b/src/policy/required_capacity.h
@@ -1,11 +1,11 @@
 // Required capacity: the weight of warm servers that the demand usually needs, by zone.
 //
 // Inputs: demand reports of the proxies, the ready servers, and each zone's health. The capacity of
-// a server is not known. But while every reported zone is healthy, the ready servers carry all that
-// is served, so the served rate per unit of their weight is a load that warm servers certainly
-// carry (the proven load). The lower of two successive samples counts, since the list and the
-// reports are late; of several healthy periods the one with the highest load counts. The required
-// weight is the usual demand divided by the proven load.
+// a server is not known. But while every reported zone is healthy and no admission limit is in
+// force, the ready servers carry all that is served, so the served rate per unit of their weight is
+// a load that warm servers certainly carry (the proven load). The lower of two successive samples
+// counts, since the list and the reports are late; of several healthy periods the one with the
+// highest load counts. The required weight is the usual demand divided by the proven load.
 //
 // The usual demand of a zone is that of the last sample in which its proxies served nearly all
 // invocations: clients repeat what is refused, so what a zone without servers is asked for says
@@ -60,6 +60,7 @@
     UsualDemand usual_demand(Micros now, const FleetState& fleet, ZoneId zone, double rate) const;
 
     int proxy_count_;
+    AdmissionMode admission_mode_;
     /// By operation.
     std::vector<double> work_seconds_;
     /// Served invocations per second and unit of weight; 0: nothing is proven.
--- a/tests/policy/required_capacity_test.cpp
+++ b/tests/policy/required_capacity_test.cpp
@@ -114,6 +114,20 @@
     EXPECT_GT(required.of_fleet().value(), 8);
 }
 
+// Guards against invocations that were not admitted and pass for a load which the servers carry.
+TEST_F(RequiredCapacityTest, LimitedAdmissionProvesNothing) {
+    Settings settings = two_operations();
+    settings.admission_mode = AdmissionMode::Fraction;
+    required = RequiredCapacity(settings);
+    sample(20, 0);
+    sample(20, 0);
+    fleet.tables[{0}].published_limits[{0}] = 0.5;
+    lose_servers(4, 7);
+    sample(20, 0);
+    sample(20, 0);
+    EXPECT_NEAR(required.of_fleet().value(), 8, 1e-9);
+}
+
 // Rates that proxies only announce prove nothing.
 TEST_F(RequiredCapacityTest, AnnouncedRatesProveNothing) {
     for (int round = 0; round < 3; ++round) {
