Warming servers leave a table whose warm servers can't carry its demand

Cause: warm servers that are sent over twice what they carried while the fleet was healthy are overloaded; proxies avoid them and use the warming one, whatever its weight. The first form of the rule only lowered that weight.

Change: where the planned weights would carry over twice the proven load, warming servers leave the table, unless they withstand its whole demand. In a release of half the servers the others stay under that.

--- a/src/policy/collapse_protection.cpp
+++ b/src/policy/collapse_protection.cpp
@@ -12,6 +12,9 @@
 constexpr double kReserveToEnter = 1.5;
 /// They stay in it while they withstand this multiple, to prevent flapping.
 constexpr double kReserveToStay = 1.25;
+/// The load, in multiples of the proven load, from which on warm servers can't be trusted to carry
+/// their part: proxies avoid them and use the warming ones.
+constexpr double kMaxLoad = 2;
 /// A table with at most kNarrowTableServers servers contains warming servers only beside at least
 /// kMinWarmServers warm ones.
 constexpr std::ptrdiff_t kNarrowTableServers = 5;
@@ -56,10 +59,11 @@
         return server.weight * slow_start_.weight_fraction(now_, server, load);
     }
 
-    double carrying_weight(const Weights& weights) const {
+    /// The weight of the servers that serve their users.
+    double planned_weight(const Weights& weights) const {
         double total = 0;
         for (const auto& [id, weight] : weights) {
-            total += carries_demand(id) ? weight : 0;
+            total += demand_.is_failing(id) ? 0 : weight;
         }
         return total;
     }
@@ -123,18 +127,12 @@
     }
     const std::ptrdiff_t carrying = view.carrying_count(weights);
     const bool narrow = std::ssize(weights) <= kNarrowTableServers;
-    if (carrying == 0 || (narrow && carrying < kMinWarmServers)) {
+    const bool overloaded =
+        !demand.limited_by_admission &&
+        demand.required_weight.value_or(0) > kMaxLoad * view.planned_weight(weights);
+    if (carrying == 0 || overloaded || (narrow && carrying < kMinWarmServers)) {
         std::erase_if(weights, is_warming);
-        return;
-    }
-    if (demand.limited_by_admission || !demand.required_weight) {
-        return;
-    }
-    const double load = *demand.required_weight / view.carrying_weight(weights);
-    for (auto& [id, weight] : weights) {
-        weight = std::min(weight, view.weight_at_load(id, load));
     }
-    std::erase_if(weights, [](const auto& entry) { return entry.second <= 0; });
 }
 
 void CollapseProtection::fill_empty(const TableDemand& demand, const TableView& view,
--- a/src/policy/collapse_protection.h
+++ b/src/policy/collapse_protection.h
@@ -11,10 +11,11 @@
 //   - Warming servers that together withstand the whole demand and a reserve may be in the table.
 //     Once the table rests on them a smaller reserve is enough.
 //     Servers that fail do not count, here and below: their share goes to the others.
-//   - Otherwise their weights are reduced by the load (required / warm weight in the table); they
-//     leave a table without a warm server, and a narrow one with a single warm server: with two
-//     servers, a proxy that uses least request picks either half of the time, and a proxy that
-//     avoids its failing servers has only the warming one left.
+//   - Otherwise they leave a table without a warm server; one whose servers, at their planned
+//     weights, would carry more than twice the proven load, since proxies then avoid the warm ones;
+//     and a narrow one with a single warm server: with two servers, a proxy that uses least request
+//     picks either half of the time, and a proxy that avoids its failing servers has only the
+//     warming one left.
 //   - A table that would then be empty gets the warming servers if they withstand the demand, else
 //     the warm servers that were left out of it (ejected). If there are none it stays empty: a
 //     proxy may be without a server while no warm one is listed, and a warming server that
