A demand report of an unknown operation reads no memory past the operations

Cause: the work of a reported operation was looked up by its number, and reports may name operations that the settings don't have. Change: only the operations of the settings count.

--- a/src/policy/required_capacity.cpp
+++ b/src/policy/required_capacity.cpp
@@ -103,11 +103,16 @@
         if (!proxy.connected || proxy.zone != zone) {
             continue;
         }
-        for (const auto& [operation, window] : proxy.demand) {
+        // Reports may name operations that the settings don't have.
+        for (std::size_t k = 0; k < work_seconds_.size(); ++k) {
+            const auto found = proxy.demand.find({static_cast<int>(k)});
+            if (found == proxy.demand.end()) {
+                continue;
+            }
             const double work =
-                window.sum(now, kDemandBucketWidth).rate() * work_seconds_[index_of(operation)];
+                found->second.sum(now, kDemandBucketWidth).rate() * work_seconds_[k];
             total += work;
-            local_only += (fleet.operations.local_only >> operation.value & 1) != 0 ? work : 0;
+            local_only += (fleet.operations.local_only >> k & 1) != 0 ? work : 0;
         }
     }
     return {rate, total > 0 ? local_only / total : 1};
--- a/tests/policy/required_capacity_test.cpp
+++ b/tests/policy/required_capacity_test.cpp
@@ -128,6 +128,16 @@
     EXPECT_NEAR(required.of_fleet().value(), 8, 1e-9);
 }
 
+// Guards against a report of an operation that the settings don't have (scenario bad_input): its
+// work is not known.
+TEST_F(RequiredCapacityTest, UnknownOperationsAreNoPartOfTheWork) {
+    add_demand(now + kRecomputeInterval - kSecond, {{0}, {40}, 1000, 0, kSecond},
+               fleet.proxies[{0}]);
+    sample(20, 0);
+    sample(20, 0);
+    EXPECT_NEAR(required.of_local_only({0}).value(), required.of_zone({0}).value() / 4, 1e-9);
+}
+
 // Rates that proxies only announce prove nothing.
 TEST_F(RequiredCapacityTest, AnnouncedRatesProveNothing) {
     for (int round = 0; round < 3; ++round) {
