The lost zone in variants: one to three servers first, one zone, each admission mode

Asked of the regression test: does it see the fault with two or three servers, with one zone, with limits, with another zone and operation? LostZoneTest plays these 18 combinations on the virtual clock.

--- a/tests/policy/warming_servers_test.cpp
+++ b/tests/policy/warming_servers_test.cpp
@@ -6,7 +6,9 @@
 #include <gtest/gtest.h>
 
 #include <cstdlib>
-#include <numeric>
+#include <iostream>
+#include <string>
+#include <tuple>
 
 #include "simulated_deployment.h"
 
@@ -110,6 +112,47 @@
               calm.answered_fraction() - local_only_fraction * 27 / 60);
 }
 
+/// The zones, how many servers are listed before the others, and the admission mode.
+using LostZone = std::tuple<int, int, AdmissionMode>;
+
+class LostZoneTest : public testing::TestWithParam<LostZone> {};
+
+// Guards against the same with two or three servers that are listed before the others, with one
+// zone (the whole fleet is lost), in each admission mode, and with another zone and operation.
+TEST_P(LostZoneTest, ItsFirstServersDoNotCollapse) {
+    const auto [zones, listed_first, admission_mode] = GetParam();
+    SimulatedDeploymentOptions options = four_zones();
+    options.settings.zone_count = zones;
+    options.settings.admission_mode = admission_mode;
+    options.zone_rates.resize(static_cast<std::size_t>(zones));
+    options.servers.resize(6 * static_cast<std::size_t>(zones));
+    // The last operation takes the place of the first, and the last zone is lost.
+    std::swap(options.settings.operations.front(), options.settings.operations.back());
+    std::swap(options.operations.front(), options.operations.back());
+    std::swap(options.zone_rates.front(), options.zone_rates.back());
+    int listed = 0;
+    for (SimulatedServer& server : options.servers) {
+        if (server.zone.value != zones - 1) {
+            continue;
+        }
+        server.crashes_at = kStart + 20 * kSecond;
+        server.crash_listed_at = kStart + 22 * kSecond;
+        server.starts_again_at = kStart + 32 * kSecond;
+        server.start_listed_at =
+            server.starts_again_at + (listed < listed_first ? 450 : 6'000) * kMillisecond;
+        ++listed;
+    }
+    SimulatedDeployment deployment(options);
+    deployment.play(60 * kSecond);
+    EXPECT_EQ(deployment.violations().text(), "");
+}
+
+INSTANTIATE_TEST_SUITE_P(ZonesServersAdmission, LostZoneTest,
+                         testing::Combine(testing::Values(1, 4), testing::Values(1, 2, 3),
+                                          testing::Values(AdmissionMode::None,
+                                                          AdmissionMode::Fraction,
+                                                          AdmissionMode::Rate)));
+
 /// Draws one deployment and its fault.
 class CaseGenerator {
 public:
