--- a/src/policy/collapse_protection.cpp
+++ b/src/policy/collapse_protection.cpp
@@ -3,6 +3,7 @@
 #include "policy/collapse_protection.h"
 
 #include <algorithm>
+#include <map>
 
 namespace badgergrade::policy {
 namespace {
@@ -20,7 +21,9 @@
 constexpr std::ptrdiff_t kNarrowTableServers = 5;
 constexpr std::ptrdiff_t kMinWarmServers = 2;
 
-std::vector<ServerId> ids_of(const std::map<ServerId, double>& weights) {
+using Weights = std::map<ServerId, double>;
+
+std::vector<ServerId> ids_of(const Weights& weights) {
     std::vector<ServerId> ids;
     ids.reserve(weights.size());
     for (const auto& [id, weight] : weights) {
@@ -29,10 +32,8 @@
     return ids;
 }
 
-}  // namespace
-
-/// The servers of one table at one moment, split by whether they are warming up.
-class CollapseProtection::TableView {
+/// The servers of one table at one moment.
+class TableView {
 public:
     TableView(Micros now, const TableDemand& demand, const FleetState& fleet,
               const SlowStart& slow_start, const Table& table)
@@ -42,25 +43,19 @@
           slow_start_(slow_start),
           table_(table) {}
 
-    bool is_warming(ServerId id) const {
-        return slow_start_.is_warming_up(now_, fleet_.servers.at(id));
+    bool can_collapse(ServerId id) const {
+        return slow_start_.can_collapse(now_, fleet_.servers.at(id));
     }
 
-    /// Whether the server is warm and serves its users.
-    bool carries_demand(ServerId id) const { return !is_warming(id) && !demand_.is_failing(id); }
-
+    /// The number of servers that serve their users and can not collapse.
     std::ptrdiff_t carrying_count(const Weights& weights) const {
-        return std::ranges::count_if(
-            weights, [this](const auto& entry) { return carries_demand(entry.first); });
-    }
-
-    double weight_at_load(ServerId id, double load) const {
-        const Server& server = fleet_.servers.at(id);
-        return server.weight * slow_start_.weight_fraction(now_, server, load);
+        return std::ranges::count_if(weights, [this](const auto& entry) {
+            return !can_collapse(entry.first) && !demand_.is_failing(entry.first);
+        });
     }
 
-    /// The weight of the servers that serve their users.
-    double planned_weight(const Weights& weights) const {
+    /// The weight of all servers that serve their users.
+    double serving_weight(const Weights& weights) const {
         double total = 0;
         for (const auto& [id, weight] : weights) {
             total += demand_.is_failing(id) ? 0 : weight;
@@ -68,16 +63,23 @@
         return total;
     }
 
-    /// Whether the warming servers among these withstand the whole demand of the table, with the
-    /// reserve.
-    template <class Ids>
-    bool withstand(const Ids& ids) const {
+    /// The weight of a server in a table that would be empty otherwise: slow start counts, an
+    /// overload does not.
+    double fallback_weight(ServerId id) const {
+        const Server& server = fleet_.servers.at(id);
+        return can_collapse(id) ? server.weight * slow_start_.weight_fraction(now_, server, 1)
+                                : server.weight;
+    }
+
+    /// Whether the servers among these that can collapse withstand the whole demand of the table,
+    /// with the reserve.
+    bool withstand(const std::vector<ServerId>& ids) const {
         if (!demand_.required_weight) {
             return false;
         }
         double withstood = 0;
         for (const ServerId id : ids) {
-            const bool counts = is_warming(id) && !demand_.is_failing(id);
+            const bool counts = can_collapse(id) && !demand_.is_failing(id);
             withstood += counts ? slow_start_.withstood_weight(now_, fleet_.servers.at(id)) : 0;
         }
         const double reserve = rests_on_warming() ? kReserveToStay : kReserveToEnter;
@@ -85,11 +87,12 @@
     }
 
 private:
-    /// Whether all published servers of the table are warming up.
+    /// Whether all published servers of the table can collapse.
     bool rests_on_warming() const {
-        return !table_.published_weights.empty() &&
-               std::ranges::all_of(table_.published_weights,
-                                   [this](const auto& entry) { return is_warming(entry.first); });
+        const auto& published = table_.published_weights;
+        return !published.empty() && std::ranges::all_of(published, [this](const auto& entry) {
+            return can_collapse(entry.first);
+        });
     }
 
     Micros now_;
@@ -99,49 +102,31 @@
     const Table& table_;
 };
 
-CollapseProtection::CollapseProtection(const Settings& settings)
-    : can_collapse_(settings.overload_collapse_factor > 0) {}
-
-void CollapseProtection::apply(Micros now, const TableDemand& demand, const FleetState& fleet,
-                               const SlowStart& slow_start, Table& table) const {
-    const TableView view(now, demand, fleet, slow_start, table);
-    if (can_collapse_) {
-        limit_warming(demand, view, table.desired_weights);
-    }
-    if (table.desired_weights.empty()) {
-        fill_empty(demand, view, table.desired_weights);
-    }
-}
-
-void CollapseProtection::limit_warming(const TableDemand& demand, const TableView& view,
-                                       Weights& weights) {
-    const auto is_warming = [&](const auto& entry) {
-        return view.is_warming(entry.first);
+void remove_warming(const TableDemand& demand, const TableView& view, Weights& weights) {
+    const auto can_collapse = [&](const auto& entry) {
+        return view.can_collapse(entry.first);
     };
-    if (std::ranges::none_of(weights, is_warming) || view.withstand(ids_of(weights))) {
+    if (std::ranges::none_of(weights, can_collapse) || view.withstand(ids_of(weights))) {
         return;
     }
-    const bool all_warming = std::ranges::all_of(weights, is_warming);
-    if (all_warming && demand.limited_by_admission) {
+    if (demand.limited_by_admission && std::ranges::all_of(weights, can_collapse)) {
         return;
     }
     const std::ptrdiff_t carrying = view.carrying_count(weights);
     const bool narrow = std::ssize(weights) <= kNarrowTableServers;
     const bool overloaded =
         !demand.limited_by_admission &&
-        demand.required_weight.value_or(0) > kMaxLoad * view.planned_weight(weights);
+        demand.required_weight.value_or(0) > kMaxLoad * view.serving_weight(weights);
     if (carrying == 0 || overloaded || (narrow && carrying < kMinWarmServers)) {
-        std::erase_if(weights, is_warming);
+        std::erase_if(weights, can_collapse);
     }
 }
 
-void CollapseProtection::fill_empty(const TableDemand& demand, const TableView& view,
-                                    Weights& weights) const {
-    const bool may_rest_on_warming =
-        !can_collapse_ || demand.limited_by_admission || view.withstand(demand.usable);
+void fill_empty(const TableDemand& demand, const TableView& view, Weights& weights) {
+    const bool may_rest_on_warming = demand.limited_by_admission || view.withstand(demand.usable);
     for (const ServerId id : demand.usable) {
-        const double weight = view.weight_at_load(id, 1);
-        if (weight > 0 && (may_rest_on_warming || !view.is_warming(id))) {
+        const double weight = view.fallback_weight(id);
+        if (weight > 0 && (may_rest_on_warming || !view.can_collapse(id))) {
             weights[id] = weight;
         }
     }
@@ -149,10 +134,21 @@
         return;
     }
     for (const ServerId id : demand.ejected) {
-        if (!can_collapse_ || !view.is_warming(id)) {
-            weights[id] = view.weight_at_load(id, 1);
+        if (!view.can_collapse(id)) {
+            weights[id] = view.fallback_weight(id);
         }
     }
 }
 
+}  // namespace
+
+void protect_warming_servers(Micros now, const TableDemand& demand, const FleetState& fleet,
+                             const SlowStart& slow_start, Table& table) {
+    const TableView view(now, demand, fleet, slow_start, table);
+    remove_warming(demand, view, table.desired_weights);
+    if (table.desired_weights.empty()) {
+        fill_empty(demand, view, table.desired_weights);
+    }
+}
+
 }  // namespace badgergrade::policy
--- a/src/policy/collapse_protection.h
+++ b/src/policy/collapse_protection.h
@@ -9,8 +9,8 @@
 // that carry the rest of the demand. With few of them, or while proxies avoid them, the demand of
 // all users comes to rest on the warming ones, whatever their weights are. Therefore:
 //   - Warming servers that together withstand the whole demand and a reserve may be in the table.
-//     Once the table rests on them a smaller reserve is enough.
-//     Servers that fail do not count, here and below: their share goes to the others.
+//     Once the table rests on them a smaller reserve is enough. Here and below servers that fail do
+//     not count: their share goes to the others.
 //   - Otherwise they leave a table without a warm server; one whose servers, at their planned
 //     weights, would carry more than twice the proven load, since proxies then avoid the warm ones;
 //     and a narrow one with a single warm server: with two servers, a proxy that uses least request
@@ -20,20 +20,18 @@
 //     the warm servers that were left out of it (ejected). If there are none it stays empty: a
 //     proxy may be without a server while no warm one is listed, and a warming server that
 //     collapses does not come back.
-// Where proxies limit the admission of local-only operations (overload_control.h), the demand of
-// such a table follows what its servers withstand; only the rule on narrow tables applies then.
+// Where admission limits (overload_control.h) keep the demand of a table below what its servers
+// withstand, it may rest on any warming servers, and no load counts as too much.
 //
 // Invariants: a table that has a warm server to name is not left empty; without a known demand no
-// table rests on warming servers.
+// table rests on warming servers, unless admission is limited.
 #pragma once
 
 #include <functional>
-#include <map>
 #include <optional>
 #include <vector>
 
 #include "policy/fleet_state.h"
-#include "policy/settings.h"
 #include "policy/slow_start.h"
 
 namespace badgergrade::policy {
@@ -44,7 +42,8 @@
     std::optional<double> required_weight;
     /// Admission limits keep the demand below what the servers of the table withstand.
     bool limited_by_admission = false;
-    /// The ready servers that belong to the table and are not ejected from it.
+    /// The ready servers that belong to the table and are not ejected from it; it is filled with
+    /// them if it would be empty otherwise. None: it may be empty.
     std::vector<ServerId> usable;
     /// The ready servers that belong to the table and are ejected from it.
     std::vector<ServerId> ejected;
@@ -52,22 +51,8 @@
     std::function<bool(ServerId)> is_failing;
 };
 
-class CollapseProtection {
-public:
-    explicit CollapseProtection(const Settings& settings);
-
-    /// Corrects the desired weights of a table after slow start has set them.
-    void apply(Micros now, const TableDemand& demand, const FleetState& fleet,
-               const SlowStart& slow_start, Table& table) const;
-
-private:
-    using Weights = std::map<ServerId, double>;
-    class TableView;
-
-    static void limit_warming(const TableDemand& demand, const TableView& view, Weights& weights);
-    void fill_empty(const TableDemand& demand, const TableView& view, Weights& weights) const;
-
-    bool can_collapse_;
-};
+/// Corrects the desired weights of a table after slow start has set them.
+void protect_warming_servers(Micros now, const TableDemand& demand, const FleetState& fleet,
+                             const SlowStart& slow_start, Table& table);
 
 }  // namespace badgergrade::policy
--- a/src/policy/overload_control.cpp
+++ b/src/policy/overload_control.cpp
@@ -36,21 +36,6 @@
 /// The servers of a local-only table may be sent this many times their share of the demand.
 constexpr double kWarmingHeadroom = 2;
 
-/// Whether there are ready servers, all of which could collapse.
-bool all_can_collapse(Micros now, const FleetState& fleet, const SlowStart& slow_start) {
-    bool any = false;
-    for (const auto& [id, server] : fleet.servers) {
-        if (server.state != ServerState::Ready) {
-            continue;
-        }
-        if (!slow_start.can_collapse(now, server)) {
-            return false;
-        }
-        any = true;
-    }
-    return any;
-}
-
 /// The part of the demand that the servers of a table may be sent, 0 to 1. `usual_weight`: the
 /// weight that the demand requires if the ready servers of the fleet carry all demand;
 /// `required_weight`: by what was measured, where that is known. Otherwise a single warming server,
@@ -143,7 +128,7 @@
     }
     const OperationSets& operations = fleet.operations;
     const double full_table_fraction =
-        all_can_collapse(now, fleet, slow_start)
+        slow_start.all_can_collapse(now, fleet)
             ? sustainable_fraction(now, fleet, slow_start, fleet.tables[fleet.full_table()],
                                    fleet.ready_weight(), required.of_fleet())
             : 1;
--- a/src/policy/publisher.cpp
+++ b/src/policy/publisher.cpp
@@ -271,7 +271,7 @@
     });
 }
 
-bool Publisher::names_endangered_server(Micros now, TableId id) const {
+bool Publisher::awaits_removal(Micros now, TableId id) const {
     const auto found = fleet_.tables.find(id);
     if (found == fleet_.tables.end()) {
         return false;
@@ -304,10 +304,10 @@
     if (priority == Priority::FirstAssignment && !is_first && !gains_servers(proxy, desired)) {
         return;
     }
-    const auto endangers_servers = [&](const auto& entry) {
-        return names_endangered_server(now, entry.second);
-    };
-    if (!is_first && std::ranges::any_of(desired, endangers_servers)) {
+    const bool must_wait = !is_first && std::ranges::any_of(desired, [&](const auto& entry) {
+        return awaits_removal(now, entry.second);
+    });
+    if (must_wait) {
         return;
     }
     if (is_first) {
--- a/src/policy/publisher.h
+++ b/src/policy/publisher.h
@@ -104,7 +104,7 @@
     bool is_empty(TableId table) const;
     /// Whether the table, as published, contains a warming server whose removal is still to be
     /// sent. No more proxies are assigned to it until then.
-    bool names_endangered_server(Micros now, TableId id) const;
+    bool awaits_removal(Micros now, TableId id) const;
     /// Whether the proxy has no tables from this instance, or one of them is empty.
     bool lacks_servers(const Proxy& proxy) const;
     /// Whether the desired tables have servers for operations that have none now.
--- a/src/policy/required_capacity.h
+++ b/src/policy/required_capacity.h
@@ -39,7 +39,7 @@
     void update(Micros now, const FleetState& fleet, const std::vector<ZoneHealth>& health);
 
     /// For the demand of all proxies; in units of listed weight, as the other values. No value
-    /// while it is not known.
+    /// while it is not known, which is so as long as no proxy of some zone has reported here.
     std::optional<double> of_fleet() const;
     /// For the demand of the proxies of one zone.
     std::optional<double> of_zone(ZoneId zone) const;
--- a/src/policy/slow_start.h
+++ b/src/policy/slow_start.h
@@ -58,6 +58,12 @@
     /// The weight of the ready servers that are warming up, as a fraction (0 to 1) of the weight of
     /// all ready servers.
     double warming_fraction(Micros now, const FleetState& fleet) const;
+
+    /// Whether there are ready servers, and all of them could collapse.
+    bool all_can_collapse(Micros now, const FleetState& fleet) const {
+        return collapse_factor_ > 0 && warming_fraction(now, fleet) >= 1;
+    }
+
     /// The weight for the tables of a zone: the server's weight x the lower of its slow start
     /// fraction and, on probation, kReducedWeightFraction.
     double planned_weight(Micros now, const Server& server, bool on_probation) const;
--- a/src/policy/table_planner.cpp
+++ b/src/policy/table_planner.cpp
@@ -60,8 +60,7 @@
 
 TablePlanner::TablePlanner(const Settings& settings)
     : only_instance_(settings.instance_count == 1),
-      can_limit_admission_(settings.admission_mode != AdmissionMode::None),
-      protection_(settings) {}
+      can_limit_admission_(settings.admission_mode != AdmissionMode::None) {}
 
 std::optional<std::string> TablePlanner::update(Micros now, FleetState& fleet,
                                                 const OutlierDetector& outliers,
@@ -77,7 +76,7 @@
     std::optional<std::string> log_text = update_mode(context, reason);
     zone_of_server_ = std::move(allocation.zone_of_server);
     fill_tables(context, ready);
-    protect_warming_servers(context, ready);
+    protect_tables(context, ready);
     return log_text;
 }
 
@@ -210,17 +209,16 @@
     }
 }
 
-void TablePlanner::protect_warming_servers(const Context& context,
-                                           const std::vector<ServerCapacity>& ready) const {
+void TablePlanner::protect_tables(const Context& context,
+                                  const std::vector<ServerCapacity>& ready) const {
     FleetState& fleet = context.fleet;
     const auto protect = [&](TableId table, const TableDemand& demand) {
-        protection_.apply(context.now, demand, fleet, context.slow_start, fleet.tables[table]);
+        protect_warming_servers(context.now, demand, fleet, context.slow_start,
+                                fleet.tables[table]);
     };
     protect(fleet.full_table(), full_table_demand(context, ready));
     for (ZoneId zone{0}; zone.value < fleet.zone_count; ++zone.value) {
-        // A zone table may stay empty: its proxies then use the full table.
-        protect(FleetState::zone_table(zone),
-                {context.required.of_zone(zone), false, {}, {}, failing_in_zone(context, zone)});
+        protect(FleetState::zone_table(zone), zone_table_demand(context, zone));
         if (fleet.operations.local_only != 0) {
             protect(fleet.local_only_table(zone), local_only_demand(context, zone, ready));
         }
@@ -233,6 +231,14 @@
     };
 }
 
+// A zone table may be empty: its proxies then use the full table.
+TableDemand TablePlanner::zone_table_demand(const Context& context, ZoneId zone) {
+    TableDemand demand;
+    demand.required_weight = context.required.of_zone(zone);
+    demand.is_failing = failing_in_zone(context, zone);
+    return demand;
+}
+
 TableDemand TablePlanner::full_table_demand(const Context& context,
                                             const std::vector<ServerCapacity>& ready) const {
     TableDemand demand;
@@ -241,7 +247,7 @@
         return is_failing(context.outliers.server_stats(context.now, server, kDecisionBuckets));
     };
     demand.limited_by_admission =
-        can_limit_admission_ && std::ranges::all_of(ready, &ServerCapacity::warming_up);
+        can_limit_admission_ && context.slow_start.all_can_collapse(context.now, context.fleet);
     for (const ServerCapacity& server : ready) {
         (is_in_full_table(context, server.server) ? demand.usable : demand.ejected)
             .push_back(server.server);
--- a/src/policy/table_planner.h
+++ b/src/policy/table_planner.h
@@ -81,9 +81,9 @@
     std::optional<std::string> update_mode(const Context& context, const std::string& reason);
     void fill_tables(const Context& context, const std::vector<ServerCapacity>& ready) const;
     /// Corrects the tables in which warming servers would be sent more than they withstand.
-    void protect_warming_servers(const Context& context,
-                                 const std::vector<ServerCapacity>& ready) const;
+    void protect_tables(const Context& context, const std::vector<ServerCapacity>& ready) const;
     static std::function<bool(ServerId)> failing_in_zone(const Context& context, ZoneId zone);
+    static TableDemand zone_table_demand(const Context& context, ZoneId zone);
     TableDemand full_table_demand(const Context& context,
                                   const std::vector<ServerCapacity>& ready) const;
     TableDemand local_only_demand(const Context& context, ZoneId zone,
@@ -92,7 +92,6 @@
 
     bool only_instance_;
     bool can_limit_admission_;
-    CollapseProtection protection_;
     /// The current allocation.
     std::map<ServerId, ZoneId> zone_of_server_;
     bool full_table_mode_ = false;
--- a/tests/policy/collapse_protection_test.cpp
+++ b/tests/policy/collapse_protection_test.cpp
@@ -11,15 +11,6 @@
 namespace badgergrade::policy {
 namespace {
 
-Settings warming_settings() {
-    Settings settings = basic_settings(1);
-    settings.slow_start_window = 16 * kSecond;
-    settings.initial_capacity_fraction = 0.2;
-    settings.overload_collapse_factor = 4;
-    settings.overload_collapse_time = kSecond;
-    return settings;
-}
-
 /// One table; a warming server of weight 1 is 8 of 16 s old and withstands 4 x 0.6 = 2.4.
 class CollapseProtectionTest : public testing::Test {
 protected:
@@ -50,7 +41,7 @@
         demand.is_failing = [this](ServerId id) {
             return failing.contains(id.value);
         };
-        CollapseProtection(settings).apply(kStart, demand, fleet, slow_start, table);
+        protect_warming_servers(kStart, demand, fleet, slow_start, table);
         std::set<unsigned> servers;
         for (const auto& [id, weight] : table.desired_weights) {
             servers.insert(id.value);
@@ -59,7 +50,7 @@
     }
 
     using Servers = std::set<unsigned>;
-    Settings settings = warming_settings();
+    Settings settings = warming_settings(0.2);
     FleetState fleet = empty_fleet(1);
     SlowStart slow_start{settings, kObjective, kStart};
     Table table;
@@ -172,11 +163,16 @@
     EXPECT_EQ(protect(std::nullopt), Servers{1});
 }
 
-// Servers that never collapse are never left out.
+// Servers that never collapse are never left out, also right after their start was reported.
 TEST_F(CollapseProtectionTest, WithoutCollapsesNothingChanges) {
     settings.overload_collapse_factor = 0;
+    slow_start = SlowStart(settings, kObjective, kStart);
     add_warming(1);
     EXPECT_EQ(protect(100), Servers{1});
+    EXPECT_EQ(protect(std::nullopt), Servers{1});
+    fleet.servers[{1}].start_reported_at = kStart;
+    table.desired_weights.clear();
+    EXPECT_EQ(apply(100), Servers{1});
 }
 
 }  // namespace
--- a/tests/policy/fleet_builder.h
+++ b/tests/policy/fleet_builder.h
@@ -45,6 +45,16 @@
     return settings;
 }
 
+/// One zone, whose servers warm up for 16 s and collapse at four times their current capacity.
+inline Settings warming_settings(double initial_capacity_fraction = 0.25) {
+    Settings settings = basic_settings(1);
+    settings.slow_start_window = 16 * kSecond;
+    settings.initial_capacity_fraction = initial_capacity_fraction;
+    settings.overload_collapse_factor = 4;
+    settings.overload_collapse_time = kSecond;
+    return settings;
+}
+
 inline event::ServerLoadReport load_report(int zone, unsigned server, int attempts, int failures,
                                            Micros latency) {
     return {{zone}, {server}, attempts, failures, latency, kSecond, {}};
--- a/tests/policy/overload_control_test.cpp
+++ b/tests/policy/overload_control_test.cpp
@@ -71,11 +71,9 @@
 // nothing before the demand is known, and everything where servers never collapse.
 TEST(OverloadControl, ALoneWarmingServerAdmitsNothingWhileTheDemandIsUnknown) {
     for (const double collapse_factor : {3.0, 0.0}) {
-        Settings settings = basic_settings(1);
+        Settings settings = warming_settings();
         settings.operations[0].local_only = true;
         settings.admission_mode = AdmissionMode::Fraction;
-        settings.slow_start_window = 16 * kSecond;
-        settings.initial_capacity_fraction = 0.2;
         settings.overload_collapse_factor = collapse_factor;
         FleetState fleet = empty_fleet(1);
         fleet.operations = {1, 1, 0};
--- a/tests/policy/publisher_test.cpp
+++ b/tests/policy/publisher_test.cpp
@@ -17,13 +17,6 @@
         }
     }
 
-    static Settings warming_settings() {
-        Settings warming = basic_settings(1);
-        warming.slow_start_window = 15 * kSecond;
-        warming.overload_collapse_factor = 3;
-        return warming;
-    }
-
     static ServerId server_of(const Command& command) {
         return std::get<command::SetWeight>(command).server;
     }
@@ -45,6 +38,21 @@
     Publisher publisher{settings, fleet, outliers, slow_start, subsetting, budget};
 };
 
+/// A proxy may be sent five messages in 10 s, two of them with changes that can wait; urgent
+/// changes of a table are merged for 4 s.
+class LimitedPublisherTest : public PublisherTest {
+protected:
+    static Settings few_messages() {
+        Settings settings = basic_settings(1);
+        settings.max_messages = 5;
+        settings.message_window = 10 * kSecond;
+        return settings;
+    }
+
+    SendBudget limited_budget{few_messages(), kStart};
+    Publisher limited{few_messages(), fleet, outliers, slow_start, subsetting, limited_budget};
+};
+
 // Lines over the budget are sent later, so their order matters: removals of gone servers first,
 // then new servers, and last servers that now belong to another table.
 TEST_F(PublisherTest, GoneServersAreFirstAndReassignedServersLast) {
@@ -166,36 +174,26 @@
 
 // Guards against proxies with an empty table that wait for another one like those that only change
 // their tables: they have no server.
-TEST_F(PublisherTest, ProxiesWithAnEmptyTableAreAssignedAnotherOneFirst) {
-    // Two of them may be used by changes that can wait.
-    settings.max_messages = 5;
-    settings.message_window = 10 * kSecond;
-    SendBudget tight_budget(settings, kStart);
-    Publisher tight(settings, fleet, outliers, slow_start, subsetting, tight_budget);
+TEST_F(LimitedPublisherTest, ProxiesWithAnEmptyTableAreAssignedAnotherOneFirst) {
     const Proxy& proxy = add_proxy(fleet, 1, 0, 1);
     Table& zone_table = fleet.tables[kZoneTable];
     zone_table.desired_weights = {{{1}, 1}};
-    tight.publish(kStart, false);
+    limited.publish(kStart, false);
     // The zone table and the full table are empty now.
     fleet.servers[{1}].state = ServerState::Gone;
     zone_table.desired_weights.clear();
-    tight.publish(kStart + 4 * kSecond, false);
+    limited.publish(kStart + 4 * kSecond, false);
     const std::map<OperationMask, TableId> full{{0, fleet.full_table()}};
     ASSERT_EQ(proxy.assigned_tables, full);
     zone_table.desired_weights = {{{2}, 1}};
-    tight.publish(kStart + 5 * kSecond, false);
+    limited.publish(kStart + 5 * kSecond, false);
     const std::map<OperationMask, TableId> zone{{0, kZoneTable}};
     EXPECT_EQ(proxy.assigned_tables, zone);
 }
 
 // Guards against more users for a table whose warming server is to leave it, while that removal
 // waits for others to be sent with it: a proxy that has a table keeps it until then.
-TEST_F(PublisherTest, NoProxyIsMovedToATableThatAWarmingServerHasToLeave) {
-    // Two of them may be used by changes that can wait; urgent ones are merged for 4 s.
-    settings.max_messages = 5;
-    settings.message_window = 10 * kSecond;
-    SendBudget limited_budget(settings, kStart);
-    Publisher limited(settings, fleet, outliers, slow_start, subsetting, limited_budget);
+TEST_F(LimitedPublisherTest, NoProxyIsMovedToATableThatAWarmingServerHasToLeave) {
     const Proxy& proxy = add_proxy(fleet, 1, 0, 1);
     add_proxy(fleet, 2, -1, 1);
     fleet.tables[kZoneTable].desired_weights = {{{1}, 1}};
--- a/tests/policy/simulated_channel.h
+++ b/tests/policy/simulated_channel.h
@@ -2,14 +2,13 @@
 // in order at a limited pace, and proxies that apply and acknowledge the messages.
 #pragma once
 
-#include <algorithm>
-#include <deque>
 #include <map>
 #include <set>
 #include <utility>
 #include <vector>
 
 #include "fleet_builder.h"
+#include "paced_queue.h"
 #include "policy/planner.h"
 
 namespace badgergrade::policy {
@@ -19,9 +18,8 @@
 public:
     /// \param slowdown  the factor by which the channel is slower than the settings say
     SimulatedChannel(const Settings& settings, double slowdown)
-        : lines_per_second_(settings.channel_lines_per_second / slowdown),
-          header_lines_(settings.message_header_lines),
-          network_delay_(settings.mean_network_delay) {}
+        : header_lines_(settings.message_header_lines),
+          queue_(settings.channel_lines_per_second / slowdown, settings.mean_network_delay) {}
 
     void connect(ProxyId proxy, std::set<ServerId> held_servers) {
         held_servers_[proxy] = std::move(held_servers);
@@ -43,27 +41,15 @@
             message.proxy = proxy;
             message.version = version_;
             message.lines += header_lines_ + 1;
-            queued_lines_ += message.lines;
-            if (queue_.empty()) {
-                sending_since_ = now;
-            }
-            queue_.push_back(std::move(message));
+            queue_.push(now, std::move(message));
         }
-        max_queued_lines_ = std::max(max_queued_lines_, queued_lines_);
     }
 
     /// Delivers all messages that have arrived by now, and returns their acknowledgements.
     std::vector<event::ConfigAcknowledged> advance(Micros now) {
-        while (!queue_.empty() && sending_since_ + sending_time(queue_.front()) <= now) {
-            sending_since_ += sending_time(queue_.front());
-            queued_lines_ -= queue_.front().lines;
-            in_transit_.emplace_back(sending_since_ + network_delay_, std::move(queue_.front()));
-            queue_.pop_front();
-        }
         std::vector<event::ConfigAcknowledged> acknowledged;
-        while (!in_transit_.empty() && in_transit_.front().first <= now) {
-            acknowledged.push_back(apply(in_transit_.front().second));
-            in_transit_.pop_front();
+        for (const Message& message : queue_.take_arrived(now)) {
+            acknowledged.push_back(apply(message));
         }
         return acknowledged;
     }
@@ -72,7 +58,7 @@
         return held_servers_.at(proxy).contains(server);
     }
 
-    double max_queued_lines() const { return max_queued_lines_; }
+    double max_queued_lines() const { return queue_.max_queued_lines(); }
 
 private:
     struct Message {
@@ -106,10 +92,6 @@
         message.lines = 1 + static_cast<double>(table.size());
     }
 
-    Micros sending_time(const Message& message) const {
-        return Micros{static_cast<std::int64_t>(message.lines / lines_per_second_ * 1e6)};
-    }
-
     event::ConfigAcknowledged apply(const Message& message) {
         std::set<ServerId>& held = held_servers_[message.proxy];
         if (message.replaces_table) {
@@ -125,18 +107,12 @@
         return {message.proxy, message.version, Micros{}};
     }
 
-    double lines_per_second_;
     double header_lines_;
-    Micros network_delay_;
     std::map<TableId, std::map<ServerId, double>> tables_;
     std::map<ProxyId, TableId> assigned_;
     std::map<ProxyId, std::set<ServerId>> held_servers_;
     ConfigVersion version_{};
-    std::deque<Message> queue_;
-    std::deque<std::pair<Micros, Message>> in_transit_;
-    Micros sending_since_{};
-    double queued_lines_ = 0;
-    double max_queued_lines_ = 0;
+    PacedQueue<Message> queue_;
 };
 
 }  // namespace badgergrade::policy
--- a/tests/policy/simulated_deployment.cpp
+++ b/tests/policy/simulated_deployment.cpp
@@ -2,10 +2,10 @@
 #include "simulated_deployment.h"
 
 #include <algorithm>
-#include <numeric>
-#include <set>
 #include <utility>
 
+#include "paced_queue.h"
+
 namespace badgergrade::policy {
 namespace {
 
@@ -90,7 +90,8 @@
     std::map<ServerId, int> failures_in_row;
     std::map<ServerId, Micros> avoided_until;
     std::deque<Micros> messages;
-    int message_count = 0;
+    /// Whether a message was ever sent to it.
+    bool has_tables = false;
     /// By operation, since the last report.
     std::vector<std::int64_t> received;
     std::vector<std::int64_t> failed;
@@ -105,6 +106,9 @@
 };
 
 struct SimulatedDeployment::Instance {
+    explicit Instance(const Settings& settings)
+        : channel(settings.channel_lines_per_second, settings.mean_network_delay) {}
+
     std::unique_ptr<Planner> planner;
 
     struct PublishedTable {
@@ -114,10 +118,7 @@
 
     std::map<TableId, PublishedTable> tables;
     std::map<ProxyId, std::vector<TableId>> assigned;
-    std::deque<Message> channel;
-    double queued_lines = 0;
-    Micros sending_since{};
-    std::deque<std::pair<Micros, Message>> in_transit;
+    PacedQueue<Message> channel;
 
     struct Sums {
         std::int64_t attempts = 0;
@@ -137,7 +138,7 @@
         servers_[plan.id] = std::move(server);
     }
     for (int index = 0; index < options_.settings.instance_count; ++index) {
-        instances_.push_back(std::make_unique<Instance>());
+        instances_.push_back(std::make_unique<Instance>(options_.settings));
     }
     for (int zone = 0; zone < options_.settings.zone_count; ++zone) {
         for (int index = 0; index < options_.proxies_per_zone; ++index) {
@@ -164,14 +165,6 @@
            static_cast<double>(std::max<std::int64_t>(1, invocations_));
 }
 
-int SimulatedDeployment::most_messages() const {
-    int most = 0;
-    for (const auto& proxy : proxies_) {
-        most = std::max(most, proxy->message_count);
-    }
-    return most;
-}
-
 void SimulatedDeployment::schedule(Micros at, std::function<void()> action) {
     actions_.push({at, next_order_++, std::move(action)});
 }
@@ -245,7 +238,7 @@
         settings.ordinal = static_cast<int>(index);
         settings.proxy_count = static_cast<int>(proxies_.size());
         Instance& instance = *instances_[index];
-        instance = {};
+        instance = Instance(settings);
         instance.planner = std::make_unique<Planner>(settings, options_.seed + index, now_);
         event::EndpointListUpdate list{UpdateKind::Snapshot, {}};
         for (const auto& [id, server] : servers_) {
@@ -268,7 +261,7 @@
     proxy.connected_at = now_;
     proxy.messages.clear();
     proxy.instance->planner->on_event(
-        now_, event::ProxyConnected{proxy.id, proxy.message_count == 0, proxy.zone, proxy.rate});
+        now_, event::ProxyConnected{proxy.id, !proxy.has_tables, proxy.zone, proxy.rate});
     proxy.instance->assigned[proxy.id].clear();
 }
 
@@ -359,12 +352,8 @@
             message.content.emplace_back(table.weights,
                                          limit == table.limits.end() ? -1 : limit->second);
         }
-        if (instance.channel.empty()) {
-            instance.sending_since = now_;
-        }
-        instance.queued_lines += message.lines;
-        instance.channel.push_back(std::move(message));
-        ++proxy.message_count;
+        instance.channel.push(now_, std::move(message));
+        proxy.has_tables = true;
         proxy.messages.push_back(now_);
         while (proxy.messages.front() <= now_ - options_.settings.message_window) {
             proxy.messages.pop_front();
@@ -374,28 +363,14 @@
                                                    " at " + seconds_text(now_ - kStart));
         }
     }
-    if (instance.queued_lines > options_.settings.max_queued_lines) {
+    if (instance.channel.queued_lines() > options_.settings.max_queued_lines) {
         violations_.channel_excesses.push_back("queue at " + seconds_text(now_ - kStart));
     }
 }
 
 void SimulatedDeployment::deliver(Instance& instance) {
-    const auto sending_time = [&](const Message& message) {
-        return Micros{static_cast<std::int64_t>(message.lines /
-                                                options_.settings.channel_lines_per_second * 1e6)};
-    };
-    while (!instance.channel.empty() &&
-           instance.sending_since + sending_time(instance.channel.front()) <= now_) {
-        Message& message = instance.channel.front();
-        instance.sending_since += sending_time(message);
-        instance.queued_lines -= message.lines;
-        instance.in_transit.emplace_back(
-            instance.sending_since + options_.settings.mean_network_delay, std::move(message));
-        instance.channel.pop_front();
-    }
-    bool acknowledged = false;
-    while (!instance.in_transit.empty() && instance.in_transit.front().first <= now_) {
-        const Message& message = instance.in_transit.front().second;
+    const std::vector<Message> arrived = instance.channel.take_arrived(now_);
+    for (const Message& message : arrived) {
         Proxy& proxy = *message.proxy;
         for (std::size_t k = 0; k < message.content.size(); ++k) {
             proxy.held[k].weights = message.content[k].first;
@@ -404,10 +379,8 @@
         proxy.last_message_sent = message.sent_at;
         instance.planner->on_event(
             now_, event::ConfigAcknowledged{proxy.id, {message.version}, now_ - message.sent_at});
-        instance.in_transit.pop_front();
-        acknowledged = true;
     }
-    if (acknowledged) {
+    if (!arrived.empty()) {
         decide(instance);
     }
 }
--- a/tests/policy/simulated_deployment.h
+++ b/tests/policy/simulated_deployment.h
@@ -86,15 +86,12 @@
 
     /// The invocations that were answered, as a fraction (0 to 1) of all.
     double answered_fraction() const;
-    /// The messages written to the proxy that was sent most of them, in the whole run.
-    int most_messages() const;
 
 private:
     struct Server;
     struct Proxy;
     struct Instance;
     struct Message;
-    using ServerPtr = std::unique_ptr<Server>;
 
     void connect(Proxy& proxy);
     void run_lifecycle(Server& server);
@@ -117,7 +114,7 @@
     SimulatedDeploymentOptions options_;
     std::ranlux24_base random_;
     Micros now_{kStart};
-    std::map<ServerId, ServerPtr> servers_;
+    std::map<ServerId, std::unique_ptr<Server>> servers_;
     std::vector<std::unique_ptr<Proxy>> proxies_;
     std::vector<std::unique_ptr<Instance>> instances_;
 
--- a/tests/policy/slow_start_test.cpp
+++ b/tests/policy/slow_start_test.cpp
@@ -7,15 +7,6 @@
 namespace badgergrade::policy {
 namespace {
 
-Settings warming_settings() {
-    Settings settings = basic_settings(1);
-    settings.slow_start_window = 16 * kSecond;
-    settings.initial_capacity_fraction = 0.25;
-    settings.overload_collapse_factor = 4;
-    settings.overload_collapse_time = kSecond;
-    return settings;
-}
-
 Server started(Micros started_at) {
     Server server;
     server.state = ServerState::Ready;
