--- a/review/standins-2/slice_world.cpp
+++ b/review/standins-2/slice_world.cpp
@@ -12,29 +12,15 @@
 //
 // Usage: slice_world --sim COMMAND --day restart|cut --trouble 0|1 --record FILE
 // Exit: 0 the rule held, 1 it was broken, 2 the day could not be played.
-#include <fcntl.h>
-#include <poll.h>
-#include <signal.h>
-#include <sys/wait.h>
-#include <unistd.h>
-
-#include <algorithm>
-#include <chrono>
-#include <cstdarg>
-#include <cstdint>
-#include <cstdio>
-#include <cstdlib>
 #include <deque>
-#include <map>
 #include <random>
-#include <set>
-#include <string>
 #include <thread>
-#include <vector>
+
+#include "sim_process.h"
 
 namespace {
 
-using Clock = std::chrono::steady_clock;
+using namespace standins;
 
 // Settings of the day, in milliseconds.
 constexpr double kSettle = 4020;       // extra.settle
@@ -53,119 +39,6 @@
 constexpr double kClockStart = 100000;
 constexpr const char* kGovernor = "governor/0";
 
-FILE* record_file = nullptr;
-Clock::time_point began;
-
-double now_ms() {
-    return std::chrono::duration<double, std::milli>(Clock::now() - began).count();
-}
-
-void record(const char* format, ...) {
-    va_list arguments;
-    va_start(arguments, format);
-    std::fprintf(record_file, "%9.1f ", now_ms());
-    std::vfprintf(record_file, format, arguments);
-    std::fputc('\n', record_file);
-    va_end(arguments);
-}
-
-[[noreturn]] void cannot_run(const std::string& reason) {
-    if (record_file) {
-        record("could not run: %s", reason.c_str());
-        std::fflush(record_file);
-    }
-    std::fprintf(stderr, "could not run: %s\n", reason.c_str());
-    std::exit(2);
-}
-
-// ---- the program under test
-
-class Adapter {
-public:
-    void start(const std::string& command) {
-        int to[2];
-        int from[2];
-        if (pipe2(to, O_CLOEXEC) != 0 || pipe2(from, O_CLOEXEC) != 0) {
-            cannot_run("no pipe");
-        }
-        pid_ = fork();
-        if (pid_ == 0) {
-            dup2(to[0], 0);
-            dup2(from[1], 1);
-            execl("/bin/sh", "sh", "-c", command.c_str(), nullptr);
-            _exit(127);
-        }
-        close(to[0]);
-        close(from[1]);
-        in_ = to[1];
-        out_ = from[0];
-        buffer_.clear();
-    }
-
-    void kill_now() {
-        if (pid_ > 0) {
-            kill(pid_, SIGKILL);
-            waitpid(pid_, nullptr, 0);
-            close(in_);
-            close(out_);
-        }
-        pid_ = 0;
-    }
-
-    bool running() const { return pid_ > 0; }
-
-    // Sends one batch and returns the lines of the reply, the last one excluded.
-    std::vector<std::string> exchange(const std::string& batch) {
-        std::size_t sent = 0;
-        while (sent < batch.size()) {
-            const ssize_t n = write(in_, batch.data() + sent, batch.size() - sent);
-            if (n <= 0) {
-                cannot_run("the adapter does not read");
-            }
-            sent += static_cast<std::size_t>(n);
-        }
-        std::vector<std::string> lines;
-        for (;;) {
-            const std::size_t end = buffer_.find('\n');
-            if (end != std::string::npos) {
-                std::string line = buffer_.substr(0, end);
-                buffer_.erase(0, end + 1);
-                if (line.rfind("next", 0) == 0) {
-                    return lines;
-                }
-                lines.push_back(std::move(line));
-                continue;
-            }
-            pollfd readable{out_, POLLIN, 0};
-            char bytes[65536];
-            if (poll(&readable, 1, 20000) <= 0) {
-                cannot_run("no reply from the adapter within 20 s");
-            }
-            const ssize_t n = read(out_, bytes, sizeof bytes);
-            if (n <= 0) {
-                cannot_run("the adapter has ended");
-            }
-            buffer_.append(bytes, static_cast<std::size_t>(n));
-        }
-    }
-
-private:
-    pid_t pid_ = 0;
-    int in_ = -1;
-    int out_ = -1;
-    std::string buffer_;
-};
-
-std::string field(const std::string& line, const std::string& name) {
-    const std::string key = "\t" + name + "=";
-    const std::size_t at = line.find(key);
-    if (at == std::string::npos) {
-        return {};
-    }
-    const std::size_t begin = at + key.size();
-    return line.substr(begin, std::min(line.find('\t', begin), line.size()) - begin);
-}
-
 // ---- the world
 
 struct Replica {
@@ -565,10 +438,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-    std::map<std::string, std::string> arguments;
-    for (int k = 1; k + 1 < argc; k += 2) {
-        arguments[argv[k]] = argv[k + 1];
-    }
+    auto arguments = options(argc, argv);
     signal(SIGPIPE, SIG_IGN);
     began = Clock::now();
     record_file = std::fopen(arguments["--record"].c_str(), "w");
