--- a/review/standins-2/sim_process.h
+++ b/review/standins-2/sim_process.h
@@ -49,6 +49,14 @@
     std::exit(2);
 }
 
+// Gives up where the stand-in itself was late: then the times of its world were not those of the settings.
+inline void check_own_time(double latest_ms) {
+    record("the stand-in itself was late by %.0f ms at most", latest_ms);
+    if (latest_ms > 200) {
+        cannot_run("the machine was too busy to keep the stand-in's time");
+    }
+}
+
 // The program under test, on a pair of pipes.
 class Adapter {
 public:
