--- a/src/policy/endpoint_list.cpp
+++ b/src/policy/endpoint_list.cpp
@@ -4,8 +4,8 @@
 namespace badgergrade::policy {
 namespace {
 
-/// Bits of a subset hash: the size of one number of the generator.
-constexpr std::size_t kHashBits = 24;
+/// The generator's numbers are whole numbers of 24 bits.
+constexpr double kSubsetHashUnit = 0x1.0p-24;
 
 }  // namespace
 
@@ -27,7 +27,7 @@
         const auto [it, is_new] = fleet.servers.try_emplace(endpoint.server);
         Server& server = it->second;
         if (is_new) {
-            server.subset_hash = std::generate_canonical<double, kHashBits>(random_);
+            server.subset_hash = static_cast<double>(random_()) * kSubsetHashUnit;
         }
         const bool same_start = server.started_at == endpoint.started_at;
         if (endpoint.state == ServerState::Ready && !same_start) {
--- a/tests/policy/endpoint_list_test.cpp
+++ b/tests/policy/endpoint_list_test.cpp
@@ -83,5 +83,15 @@
     EXPECT_EQ(fleet.servers[{1}].start_reported_at, kStart);
 }
 
+// Guards against subset hashes that differ between kinds of machine, where the standard library's
+// distributions take another number of draws: each is one number of the generator.
+TEST_F(EndpointListTest, SubsetHashesAreTheSameOnEveryMachine) {
+    EndpointList list(settings, 7);
+    apply(list, UpdateKind::Snapshot, {endpoint(1), endpoint(2), endpoint(3)});
+    EXPECT_EQ(fleet.servers[{1}].subset_hash, 11770281 * 0x1.0p-24);
+    EXPECT_EQ(fleet.servers[{2}].subset_hash, 9409582 * 0x1.0p-24);
+    EXPECT_EQ(fleet.servers[{3}].subset_hash, 3139026 * 0x1.0p-24);
+}
+
 }  // namespace
 }  // namespace badgergrade::policy
