Early acknowledgements correct the channel model; removals of ready servers go before wider tables

Causes: (1) what removes a server that is ready, such as an ejected one, waited behind all proxies that get their wide table back. (2) A wide table whose users are being moved to interim tables was changed all the same by the deferrable part. (3) A change for many proxies without a due time was sent in a part of at least twelve lines each, however many proxies that is, while others were due. (4) The model learned from a busy channel alone: one that takes the channel to be too slow would keep it from being busy, and so would never be corrected.

--- a/src/policy/channel_model.cpp
+++ b/src/policy/channel_model.cpp
@@ -41,21 +41,28 @@
         return;
     }
     if (busy && sample_since_) {
-        add_sample(now, elapsed);
+        add_sample(now, sample_lines_, sample_messages_, elapsed);
     }
     sample_since_ = busy ? std::optional(now) : std::nullopt;
     sample_lines_ = 0;
     sample_messages_ = 0;
 }
 
-void ChannelModel::add_sample(Micros now, double elapsed_seconds) {
+void ChannelModel::on_carried_within(Micros now, double lines, double messages,
+                                     double max_seconds) {
+    if (seconds(lines, messages) > max_seconds) {
+        add_sample(now, lines, messages, max_seconds);
+    }
+}
+
+void ChannelModel::add_sample(Micros now, double lines, double messages, double seconds) {
     decay(now);
-    const double line_seconds = sample_lines_ * stated_seconds_per_line_;
+    const double line_seconds = lines * stated_seconds_per_line_;
     sums_.xx += line_seconds * line_seconds;
-    sums_.xy += line_seconds * sample_messages_;
-    sums_.yy += sample_messages_ * sample_messages_;
-    sums_.xt += line_seconds * elapsed_seconds;
-    sums_.yt += sample_messages_ * elapsed_seconds;
+    sums_.xy += line_seconds * messages;
+    sums_.yy += messages * messages;
+    sums_.xt += line_seconds * seconds;
+    sums_.yt += messages * seconds;
     fit();
 }
 
--- a/src/policy/channel_model.h
+++ b/src/policy/channel_model.h
@@ -4,9 +4,10 @@
 // A message takes a time for each line and a time of its own. The settings state the pace in lines
 // per second; the real channel may be slower, for each line, for each message, or for both. While
 // the channel is busy, the lines and messages that are acknowledged within a time show what it
-// carries. The two factors are the weighted least squares fit of these samples, with the stated
-// pace as the prior; samples lose half of their weight in kSampleHalfLife, so that without new ones
-// the model returns to the stated pace.
+// carries; an acknowledgement that comes earlier than the model explains shows that too. The two
+// factors are the weighted least squares fit of these samples, with the stated pace as the prior;
+// samples lose half of their weight in kSampleHalfLife, so that without new ones the model returns
+// to the stated pace.
 //
 // Where the settings state no pace, lines take no time until acknowledgements show otherwise.
 //
@@ -34,6 +35,9 @@
     void advance(Micros now);
     /// Counts lines and messages that are now known to have been carried.
     void on_carried(double lines, double messages);
+    /// Messages of this many lines in total have been carried within this time, or less: a bound
+    /// that corrects a model which takes the channel to be slower.
+    void on_carried_within(Micros now, double lines, double messages, double max_seconds);
     /// To be called after an acknowledgement. `busy`: something was still waiting in the channel
     /// when the acknowledged message left it.
     void on_acknowledged(Micros now, bool busy);
@@ -48,7 +52,7 @@
         double yt = 0;
     };
 
-    void add_sample(Micros now, double elapsed_seconds);
+    void add_sample(Micros now, double lines, double messages, double seconds);
     void decay(Micros now);
     void fit();
 
--- a/src/policy/publisher.cpp
+++ b/src/policy/publisher.cpp
@@ -66,6 +66,7 @@
     update_differences(now);
     std::vector<Delivery> deliveries = due_deliveries(now, full_table_mode);
     scheduler_.update(now, budget_, deliveries);
+    crowded_tables_.clear();
     if (scheduler_.uses_interim_tables()) {
         replace_crowded_changes(now, deliveries);
     }
@@ -233,7 +234,6 @@
 }
 
 void Publisher::replace_crowded_changes(Micros now, std::vector<Delivery>& deliveries) {
-    crowded_tables_.clear();
     std::vector<Delivery> replaced;
     std::set<ProxyId> added;
     for (const Delivery& delivery : deliveries) {
@@ -269,22 +269,30 @@
     }
 }
 
-// Tables take turns by the time of their last change.
+// Removals of servers that are ready, such as ejected ones, come before the changes that only add
+// servers. Tables take turns by the time of their last change.
 void Publisher::send_deferrable(Micros now, bool full_table_mode) {
     if (!budget_.has_room(now)) {
         return;
     }
-    for (const auto& [id, proxy] : fleet_.proxies) {
-        if (proxy.connected && !proxy.assigned_tables.empty()) {
-            publish_assignment(now, id, full_table_mode, Priority::Deferrable);
-        }
-    }
     std::vector<TableId> tables;
     for (const auto& [id, users] : users_) {
-        tables.push_back(id);
+        if (!crowded_tables_.contains(id)) {
+            tables.push_back(id);
+        }
     }
     std::ranges::stable_sort(tables, {},
                              [&](TableId id) { return fleet_.tables[id].published_at; });
+    for (const TableId id : tables) {
+        if (differences_[id].has_removals) {
+            publish_table(now, id, Priority::Deferrable, Micros::max());
+        }
+    }
+    for (const auto& [id, proxy] : fleet_.proxies) {
+        if (proxy.connected && !proxy.assigned_tables.empty()) {
+            publish_assignment(now, id, full_table_mode, Priority::Deferrable);
+        }
+    }
     for (const TableId id : tables) {
         publish_table(now, id, Priority::Deferrable, Micros::max());
     }
@@ -340,12 +348,23 @@
     if (send_all) {
         const std::size_t available =
             std::min(budget_.lines_available(now, fleet_.proxies, users, Priority::Deferrable),
-                     budget_.lines_within(scheduler_.max_deferrable_seconds(), users.size()));
+                     deferrable_lines(users.size()));
         count = std::max(count, std::min(all, available));
     }
     return count;
 }
 
+// While the channel has nothing urgent to do, a change for many proxies is sent in parts rather
+// than not at all.
+std::size_t Publisher::deferrable_lines(std::size_t recipients) const {
+    const std::size_t lines = budget_.lines_within(scheduler_.max_deferrable_seconds(), recipients);
+    const std::size_t part = budget_.min_partial_lines(SIZE_MAX, recipients);
+    if (lines >= part) {
+        return lines;
+    }
+    return scheduler_.uses_interim_tables() ? 0 : part;
+}
+
 bool Publisher::is_acknowledged(Micros now, const Table& table,
                                 const std::vector<ProxyId>& users) const {
     return now - table.published_at >= kAckTimeout ||
--- a/src/policy/publisher.h
+++ b/src/policy/publisher.h
@@ -97,6 +97,8 @@
     void send_lines(Micros now, TableId id, std::size_t count);
     /// How many of the difference's first lines are sent now.
     std::size_t sendable_lines(Micros now, TableId id, Priority priority, Micros due) const;
+    /// How many lines without a due time so many proxies may be sent at once.
+    std::size_t deferrable_lines(std::size_t recipients) const;
     /// Whether all users have acknowledged the table's last change, or kAckTimeout has passed.
     bool is_acknowledged(Micros now, const Table& table, const std::vector<ProxyId>& users) const;
     bool is_empty(TableId table) const;
--- a/src/policy/send_budget.cpp
+++ b/src/policy/send_budget.cpp
@@ -100,10 +100,12 @@
         return to_seconds(std::max(Micros{0}, expected_empty_at_ - now));
     }
     const double lines = std::max(0.0, queued_lines_ - lost_lines_);
-    const double messages = unacknowledged_lines_ > 0
-                                ? unacknowledged_messages_ * (lines / unacknowledged_lines_)
-                                : 0.0;
-    return channel_.seconds(lines, messages);
+    return channel_.seconds(lines, queued_messages(lines));
+}
+
+double SendBudget::queued_messages(double lines) const {
+    return unacknowledged_lines_ > 0 ? unacknowledged_messages_ * (lines / unacknowledged_lines_)
+                                     : 0.0;
 }
 
 // Acknowledgements lead to a decision as soon as the channel has room. Without them the next one is
@@ -159,8 +161,7 @@
         return static_cast<std::size_t>(kUnlimitedLines);
     }
     const double lines = (seconds - this->seconds(0, messages)) / seconds_per_line;
-    const double partial_lines = (header_lines_ + 1) * kMinLinesPerOverheadLine;
-    return static_cast<std::size_t>(std::min(kUnlimitedLines, std::max(lines, partial_lines)));
+    return static_cast<std::size_t>(std::clamp(lines, 0.0, kUnlimitedLines));
 }
 
 std::size_t SendBudget::min_partial_lines(std::size_t lines, std::size_t recipients) const {
@@ -196,7 +197,8 @@
         return false;
     }
     version_ = next_version();
-    batches_.push_back({version_, now, static_cast<int>(batch_recipients_.size())});
+    batches_.push_back({version_, now, static_cast<int>(batch_recipients_.size()), queued_lines_,
+                        queued_messages(queued_lines_)});
     if (batches_.size() > kMaxBatches) {
         batches_.pop_front();
     }
@@ -232,6 +234,7 @@
             remove_unacknowledged(proxy, acknowledged_version_ - 1, true);
         }
     }
+    forget_acknowledged_batches(now);
     // Lines that may have passed others prove nothing about the pace.
     channel_.on_acknowledged(now, lost_lines_ <= 0 && is_busy(now));
 }
@@ -273,8 +276,15 @@
     if (index < batches_.size()) {
         batches_[index].messages -= messages;
     }
-    while (!batches_.empty() && batches_.front().messages <= 0) {
-        batches_.pop_front();
+}
+
+void SendBudget::forget_acknowledged_batches(Micros now) {
+    for (; !batches_.empty() && batches_.front().messages <= 0; batches_.pop_front()) {
+        const Batch& batch = batches_.front();
+        if (lost_lines_ <= 0) {
+            channel_.on_carried_within(now, batch.queued_lines, batch.queued_messages,
+                                       to_seconds(now - batch.sent_at));
+        }
     }
 }
 
--- a/src/policy/send_budget.h
+++ b/src/policy/send_budget.h
@@ -82,8 +82,8 @@
     /// `proxies`.
     std::size_t lines_available(Micros now, const Proxies& proxies,
                                 const std::vector<ProxyId>& recipients, Priority priority) const;
-    /// How many lines for each of so many recipients the channel carries in this time, with their
-    /// message headers; at least a part that is worth a message.
+    /// How many lines for each of so many recipients the channel carries in this time, beside their
+    /// message headers.
     std::size_t lines_within(double seconds, std::size_t recipients) const;
     /// The fewest of `lines` lines that are worth a message to each recipient: all of them,
     /// or twice the message overhead, or what an empty queue holds if that is less.
@@ -123,7 +123,12 @@
     bool is_busy(Micros now) const;
     /// Whether the proxy may be sent one more message in the current window.
     bool within_message_limit(Micros now, const Proxy& proxy, Priority priority) const;
+    /// Messages of a batch were acknowledged, or lost.
     void remove_from_batch(int version, int messages);
+    /// Forgets the oldest batches that are acknowledged.
+    void forget_acknowledged_batches(Micros now);
+    /// Estimate of the messages that are queued.
+    double queued_messages(double lines) const;
     /// Lines of the message to this proxy under the newest version, including the overhead.
     double last_message_lines(const Proxy& proxy) const;
     /// Removes a proxy's unacknowledged lines up to this version: they were acknowledged, or lost
@@ -169,6 +174,9 @@
         Micros sent_at;
         /// Messages that are not proven to have left the queue.
         int messages;
+        /// What was queued with this batch, by the estimate.
+        double queued_lines;
+        double queued_messages;
     };
 
     /// The batches since the oldest with such a message; each version has one.
