--- a/src/policy/delivery_scheduler.cpp
+++ b/src/policy/delivery_scheduler.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// The part of the drain grace, as a divisor, that known deliveries may take.
-constexpr int kUsedGraceDivisor = 4;
+constexpr int kUsedGraceDivisor = 2;
 /// Orders the deliveries of deployments without these limits.
 constexpr Micros kUnlimitedGrace{10'000'000};
 /// How long one change without a due time may keep the channel busy while interim tables are in
--- a/src/policy/delivery_scheduler.h
+++ b/src/policy/delivery_scheduler.h
@@ -16,7 +16,7 @@
 // table (interim_tables.h) has a few lines, and the next drain concerns only some of them. It is
 // used in place of a wide one where that is fewer lines, while the wide ones would keep the channel
 // busy for too long: the deliveries that the drain grace limits have to fit, one after the other at
-// the pace that acknowledgements show (channel_model.h), into a quarter of the grace each. The rest
+// the pace that acknowledgements show (channel_model.h), into half of the grace each. The rest
 // is kept for what is not known yet: further drains, and proxies that are still to connect.
 //
 // Invariants: no decision depends on what kind of change is due, only on its due time and cost;
