--- a/src/policy/channel_model.cpp
+++ b/src/policy/channel_model.cpp
@@ -9,7 +9,7 @@
 
 /// A sample covers at least this time, so that differences between network delays matter little.
 constexpr double kMinSampleSeconds = 0.3;
-constexpr double kSampleHalfLife = 20;
+constexpr double kSampleHalfLifeSeconds = 20;
 /// The prior counts as much as a sample of this time.
 constexpr double kPriorSeconds = 0.05;
 /// The time of a message's own that is as likely as a channel that takes twice the stated time for
@@ -67,7 +67,7 @@
 }
 
 void ChannelModel::decay(Micros now) {
-    const double factor = std::exp2(-to_seconds(now - decayed_at_) / kSampleHalfLife);
+    const double factor = std::exp2(-to_seconds(now - decayed_at_) / kSampleHalfLifeSeconds);
     decayed_at_ = now;
     for (double* sum : {&sums_.xx, &sums_.xy, &sums_.yy, &sums_.xt, &sums_.yt}) {
         *sum *= factor;
--- a/src/policy/channel_model.h
+++ b/src/policy/channel_model.h
@@ -6,7 +6,7 @@
 // the channel is busy, the lines and messages that are acknowledged within a time show what it
 // carries; an acknowledgement that comes earlier than the model explains shows that too. The two
 // factors are the weighted least squares fit of these samples, with the stated pace as the prior;
-// samples lose half of their weight in kSampleHalfLife, so that without new ones the model returns
+// samples lose half of their weight in 20 s, so that without new ones the model returns
 // to the stated pace.
 //
 // Where the settings state no pace, lines take no time until acknowledgements show otherwise.
--- a/src/policy/delivery_scheduler.h
+++ b/src/policy/delivery_scheduler.h
@@ -19,8 +19,8 @@
 // the pace that acknowledgements show (channel_model.h), into half of the grace each. The rest
 // is kept for what is not known yet: further drains, and proxies that are still to connect.
 //
-// Invariants: no decision depends on what kind of change is due, only on its due time and cost;
-// while no server is draining or gone, no interim table is needed. docs/design.md, "Changed" 6, has
+// Invariants: the order depends on due times alone, not on what kind of change is due; while no
+// server is draining or gone, no interim table is needed. docs/design.md, "Changed" 6, has
 // the reasons.
 #pragma once
 
--- a/src/policy/publisher.cpp
+++ b/src/policy/publisher.cpp
@@ -113,16 +113,21 @@
 }
 
 void Publisher::update_difference(Micros now, TableId id) {
-    TableDifference& difference = differences_[id];
-    difference = table_difference(now, id, fleet_.tables[id], fleet_, outliers_, slow_start_);
+    differences_[id] = compare(now, id);
+    const auto users = users_.find(id);
+    if (users == users_.end() || users->second.empty()) {
+        send_lines(now, id, differences_[id].lines.size());
+    }
+}
+
+TableDifference Publisher::compare(Micros now, TableId id) const {
+    TableDifference difference =
+        table_difference(now, id, fleet_.tables.at(id), fleet_, outliers_, slow_start_);
     // The other lines of an interim table replace the servers that leave it.
     if (difference.urgent_count > 0 && fleet_.is_interim_table(id)) {
         difference.urgent_count = difference.lines.size();
     }
-    const auto users = users_.find(id);
-    if (users == users_.end() || users->second.empty()) {
-        send_lines(now, id, difference.lines.size());
-    }
+    return difference;
 }
 
 std::vector<Delivery> Publisher::due_deliveries(Micros now, bool full_table_mode) {
@@ -244,8 +249,10 @@
         crowded_tables_.insert(*delivery.table);
         for (const ProxyId user : users_.at(*delivery.table)) {
             if (added.insert(user).second) {
-                replaced.push_back({delivery.due, std::nullopt, user, kInterimWidth + 1.0, 1,
-                                    delivery.is_limited_by_grace});
+                Delivery assignment;
+                assignment.due = delivery.due;
+                assignment.proxy = user;
+                replaced.push_back(assignment);
             }
         }
     }
@@ -323,7 +330,7 @@
         record_published(table, difference.lines[index]);
         commands_.push_back(difference.lines[index]);
     }
-    differences_[id] = table_difference(now, id, table, fleet_, outliers_, slow_start_);
+    differences_[id] = compare(now, id);
 }
 
 // Due lines are merged so that the message limit is not used up: ejections would otherwise use what
--- a/src/policy/publisher.h
+++ b/src/policy/publisher.h
@@ -7,10 +7,11 @@
 //
 // A batch, in order: tables without users, so that a later assignment finds them complete; what has
 // a due time, earliest deadline first (delivery_scheduler.h): due lines of tables in use, first
-// assignments, and assignments of proxies whose table is empty; changed assignments; all other
-// lines, those of the table first whose last change is oldest. Everything but the first group waits
-// here while the channel has no room (send_budget.h). A table's other lines are sent with its due
-// lines as far as the budget allows, while no interim tables are in use.
+// assignments, and assignments of proxies whose table is empty; the changes of tables that remove
+// servers which are ready, such as ejected ones; changed assignments; the changes of all other
+// tables. Without a due time, the table whose last change is oldest comes first. Nothing is sent
+// while the channel has no room (send_budget.h). A table's other lines are sent with its due lines
+// as far as the budget allows, while no interim tables are in use.
 //
 // Due lines are delayed, or only a part of them is sent (as many lines as are worth a message
 // header), while a user of the table has used up its message limit, or the estimated queue is above
@@ -19,7 +20,8 @@
 //
 // Until its first assignment a proxy is sent nothing and uses the configuration that it holds.
 // While the scheduler asks for interim tables (interim_tables.h), proxies get these in their first
-// assignment, and in place of the changes of a wide table that are more lines.
+// assignment, and in place of the due lines of a wide table where the scheduler says that this is
+// cheaper.
 //
 // Invariants: a table with users is never emptied before its new servers are sent; a change is
 // recorded as published exactly when its command is returned; a proxy gets at most one message per
@@ -70,8 +72,11 @@
     void keep_ready_servers(Micros now);
     /// Compares all tables and sends the changes of those without users.
     void update_differences(Micros now);
-    /// Compares one table with its published state; its users are those of users_.
+    /// Compares one table, and sends its changes if it has no users.
     void update_difference(Micros now, TableId id);
+    /// The lines that turn a table as published into the desired one. Those of an interim table are
+    /// due together.
+    TableDifference compare(Micros now, TableId id) const;
 
     /// What must be sent by a time, with complete tables.
     std::vector<Delivery> due_deliveries(Micros now, bool full_table_mode);
--- a/src/policy/send_budget.cpp
+++ b/src/policy/send_budget.cpp
@@ -16,8 +16,8 @@
 constexpr double kUnconfirmedPaceFraction = 0.25;
 /// The fraction of the queue limit up to which lines may be sent.
 constexpr double kMaxQueueFraction = 0.95;
-/// Network delays, in multiples of the mean, that nearly no message exceeds.
-constexpr double kUsualNetworkDelay = 1.5;
+/// The network delay that nearly no message exceeds, in multiples of the mean.
+constexpr double kUsualNetworkDelayFactor = 1.5;
 /// The fraction of a proxy's message limit that deferrable lines may use; drains need the rest.
 constexpr double kDeferrableMessagesFraction = 0.4;
 constexpr Micros kMinMessageBucket{1000};
@@ -46,13 +46,14 @@
       header_lines_(settings.message_header_lines),
       max_queued_lines_(settings.max_queued_lines > 0 ? settings.max_queued_lines
                                                       : kUnlimitedLines),
-      target_queue_seconds_(kUsualNetworkDelay * to_seconds(settings.mean_network_delay) +
+      target_queue_seconds_(kUsualNetworkDelayFactor * to_seconds(settings.mean_network_delay) +
                             to_seconds(kDecisionInterval) / 2),
       max_messages_(settings.max_messages),
       messages_bucket_width_(
           std::max(kMinMessageBucket, settings.message_window / kMessageBucketsInWindow)),
       queue_updated_at_(now),
-      mean_network_delay_(settings.mean_network_delay),
+      usual_network_delay_seconds_(kUsualNetworkDelayFactor *
+                                   to_seconds(settings.mean_network_delay)),
       max_network_delay_(settings.max_network_delay),
       channel_(settings),
       expected_empty_at_(now) {}
@@ -116,9 +117,8 @@
 }
 
 bool SendBudget::is_busy(Micros now) const {
-    const Micros delay{static_cast<std::int64_t>(kUsualNetworkDelay *
-                                                 static_cast<double>(mean_network_delay_.count()))};
-    return !batches_.empty() && now - batches_.front().sent_at > delay;
+    return !batches_.empty() &&
+           to_seconds(now - batches_.front().sent_at) > usual_network_delay_seconds_;
 }
 
 bool SendBudget::within_message_limit(Micros now, const Proxy& proxy, Priority priority) const {
--- a/src/policy/send_budget.h
+++ b/src/policy/send_budget.h
@@ -2,7 +2,7 @@
 // proxies now, from an estimate of the channel's queue.
 //
 // Inputs: the settings (the channel's pace in lines per second, the queue limit in lines, the
-// message limit of a proxy in a time window, the drain grace), what was sent, acknowledgements, and
+// message limit of a proxy in a time window, network delays), what was sent, acknowledgements, and
 // lost connections. The unit is a line; each message also costs its header and one line for the
 // acknowledgement.
 //
@@ -162,13 +162,15 @@
     /// When the last acknowledgement arrived, or the last batch began with nothing unacknowledged.
     Micros acknowledgement_awaited_since_{};
     double largest_message_lines_ = 0;
-    Micros mean_network_delay_;
+    /// Nearly no message takes longer from the channel to its proxy.
+    double usual_network_delay_seconds_;
     Micros max_network_delay_;
     ChannelModel channel_;
     /// When everything sent so far has left the channel by its stated pace. Used until the first
     /// acknowledgement.
     Micros expected_empty_at_;
 
+    /// What was sent under one version.
     struct Batch {
         int version;
         Micros sent_at;
@@ -179,7 +181,7 @@
         double queued_messages;
     };
 
-    /// The batches since the oldest with such a message; each version has one.
+    /// One for each version since the oldest of which some messages may still be queued.
     std::deque<Batch> batches_;
     /// The proxies that get a message in this batch.
     std::set<ProxyId> batch_recipients_;
--- a/tests/policy/takeover.h
+++ b/tests/policy/takeover.h
@@ -63,8 +63,7 @@
     std::size_t max_messages = 0;
     double total_lines = 0;
     int total_messages = 0;
-    /// At the end: the fewest servers of any table, and the highest load of one server in multiples
-    /// of the mean, if all proxies of a zone have the same load.
+    /// The fewest servers that a proxy may use for an operation, at the end.
     std::size_t min_final_width = 0;
     /// The highest load of one server at any moment from the first drain on, in multiples of what
     /// it would be if all proxies used all servers.
